--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -26,7 +26,7 @@
 /// second failed answer.
 const BALANCER_NOTICE: Duration = Duration::from_millis(3200);
 /// Part of the grace that is left unused, so that the process ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
+const GRACE_MARGIN_SHARE: f64 = 1.0 / 6.0;
 /// Time between two looks at running requests during a stop.
 const STOP_CHECK: Duration = Duration::from_millis(20);
 
@@ -94,7 +94,7 @@
             _ = reload.recv() => log::info!("asked to reload; settings are read at the start only"),
         }
     }
-    let end = Instant::now() + settings.grace.saturating_sub(GRACE_MARGIN);
+    let end = Instant::now() + settings.grace.mul_f64(1.0 - GRACE_MARGIN_SHARE);
     log::info!(running = callers.running(); "stop begun; readiness fails, requests are still served");
     callers.begin_stop();
     tokio::time::sleep(BALANCER_NOTICE.min(settings.grace / 2)).await;
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -14,8 +14,9 @@
 use crate::gateway::settings::{GatewaySettings, Place};
 use crate::ids::{LeafId, ServiceName};
 
-/// Part of a backend server's connection limit that the fleet uses; the rest is for replaced VMs.
-const CONNECTION_SHARE: f64 = 0.85;
+/// Part of a backend server's connection limit that the fleet uses: a fleet that lost power leaves as
+/// many connections behind, which count until the backend server notices.
+const CONNECTION_SHARE: f64 = 0.5;
 /// Share of a VM in the connections of near backend servers, against that in distant ones: requests go
 /// to distant ones only where near ones fail.
 const NEAR_FACTOR: f64 = 2.0;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -25,6 +25,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two messages on a link that has no news.
 const IDLE_PING: Duration = Duration::from_secs(2);
+/// Time for which news waits for the other VM to get it from the store itself.
+const NEWS_DELAY: Duration = Duration::from_millis(300);
 /// Silence after which a link counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two attempts to open a link.
@@ -183,17 +185,32 @@
     // The revision that the other side is known to have; none before its first message.
     let mut theirs: Option<Revision> = None;
     let mut last_heard = Instant::now();
+    let mut news_due: Option<Instant> = None;
+    let mut told = peers.state.as_of();
     loop {
         let ours = peers.state.as_of();
-        if let Some(revision) = theirs
-            && revision < ours
-        {
-            let update = peers.state.since(revision);
-            theirs = Some(ours);
-            if let Err(error) = send(&mut socket, &PeerMessage::News { update }).await {
+        let lag = theirs.filter(|revision| *revision < ours);
+        match lag {
+            None => news_due = None,
+            Some(revision) if news_due.is_some_and(|due| due <= Instant::now()) => {
+                let update = peers.state.since(revision);
+                theirs = Some(ours);
+                news_due = None;
+                if let Err(error) = send(&mut socket, &PeerMessage::News { update }).await {
+                    return error;
+                }
+            }
+            Some(_) => {
+                news_due.get_or_insert(Instant::now() + NEWS_DELAY);
+            }
+        }
+        if ours > told {
+            told = ours;
+            if let Err(error) = send(&mut socket, &PeerMessage::Ping { as_of: ours }).await {
                 return error;
             }
         }
+        let wake = news_due.unwrap_or_else(|| Instant::now() + IDLE_PING);
         let message = tokio::select! {
             message = tokio::time::timeout_at(last_heard + SILENCE_LIMIT, socket.next()) => message,
             _ = news.changed() => continue,
@@ -204,7 +221,10 @@
                     Err(error) => return error,
                 }
             }
-            () = tokio::time::sleep(IDLE_PING) => {
+            () = tokio::time::sleep_until(wake) => {
+                if news_due.is_some() {
+                    continue;
+                }
                 match send(&mut socket, &PeerMessage::Ping { as_of: ours }).await {
                     Ok(()) => continue,
                     Err(error) => return error,
