--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -14,11 +14,12 @@
 use crate::gateway::attempts::Means;
 use crate::gateway::callers::{self, Callers};
 use crate::gateway::peer_link::{self, Peers};
+use crate::gateway::probes;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::speech::{PublishedStore, Speech};
 use crate::gateway::state::State;
+use crate::gateway::store_watch::{self, ReadDuty, ReadsAlways};
 use crate::gateway::telemetry::Telemetry;
-use crate::gateway::{probes, store_watch};
 use crate::http_server::{self, HttpLimits};
 use crate::timer::TimerService;
 
@@ -47,14 +48,16 @@
     let (stop, stopped) = watch::channel(false);
     let (_never, running) = watch::channel(false);
 
-    tokio::spawn(store_watch::run(Arc::clone(&state), store, telemetry));
+    let mut duty: Arc<dyn ReadDuty> = Arc::new(ReadsAlways);
     tokio::spawn(probes::run(Arc::clone(&state), means, TimerService, settings.drain));
     if let Some(address) = settings.peer_address {
         let listener = TcpListener::bind(address).await?;
         let peers = Arc::new(Peers::new(address, &settings.seeds, Arc::clone(&state)));
         tokio::spawn(peer_link::serve(Arc::clone(&peers), listener));
-        tokio::spawn(peer_link::run(peers));
+        tokio::spawn(peer_link::run(Arc::clone(&peers)));
+        duty = peers;
     }
+    tokio::spawn(store_watch::run(Arc::clone(&state), store, duty, telemetry));
     if let Some(address) = settings.metrics_address {
         let listener = TcpListener::bind(address).await?;
         let callers = Arc::clone(&callers);
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod peer_link;
 pub mod pool;
 pub mod probes;
+pub mod readers;
 pub mod routes;
 pub mod scatter;
 pub mod server;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -16,7 +16,9 @@
 use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::gateway::items::Update;
+use crate::gateway::readers;
 use crate::gateway::state::State;
+use crate::gateway::store_watch::ReadDuty;
 use crate::ids::Revision;
 
 /// Links that each VM opens.
@@ -27,6 +29,8 @@
 const IDLE_PING: Duration = Duration::from_secs(2);
 /// Time for which news waits for the other VM to get it from the store itself.
 const NEWS_DELAY: Duration = Duration::from_millis(300);
+/// Time over which newly known VMs are gathered into one message.
+const KNOWN_DELAY: Duration = Duration::from_secs(1);
 /// Silence after which a link counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two attempts to open a link.
@@ -41,7 +45,8 @@
         /// VMs that the receiver may not know.
         Known { known: Vec<SocketAddr> },
         News { update: Update },
-        Ping { as_of: Revision },
+        /// What the sender knows, how long ago the store confirmed it, and whether it reads the store.
+        Ping { age_ms: Option<u64>, as_of: Revision, reads: bool },
     }
 }
 
@@ -108,6 +113,27 @@
     }
 }
 
+impl ReadDuty for Peers {
+    fn reads(&self) -> bool {
+        readers::reads(self.own, &self.known.borrow(), self.state.age_of_knowledge())
+    }
+
+    fn watch_wait(&self) -> Duration {
+        readers::watch_wait(self.known.borrow().len() + 1)
+    }
+}
+
+impl Peers {
+    /// Returns what this VM knows and how fresh it is.
+    fn ping(&self) -> PeerMessage {
+        PeerMessage::Ping {
+            age_ms: self.state.age_of_knowledge().map(|age| age.as_millis() as u64),
+            as_of: self.state.as_of(),
+            reads: self.reads(),
+        }
+    }
+}
+
 /// Accepts links from other VMs.
 pub async fn serve(peers: Arc<Peers>, listener: TcpListener) {
     loop {
@@ -185,8 +211,10 @@
     // The revision that the other side is known to have; none before its first message.
     let mut theirs: Option<Revision> = None;
     let mut last_heard = Instant::now();
+    let mut known_due: Option<Instant> = None;
     let mut news_due: Option<Instant> = None;
-    let mut told = peers.state.as_of();
+    let mut they_read = true;
+    let mut told = 0;
     loop {
         let ours = peers.state.as_of();
         let lag = theirs.filter(|revision| *revision < ours);
@@ -201,31 +229,38 @@
                 }
             }
             Some(_) => {
-                news_due.get_or_insert(Instant::now() + NEWS_DELAY);
+                let delay = if they_read { NEWS_DELAY } else { Duration::ZERO };
+                news_due.get_or_insert(Instant::now() + delay);
             }
         }
         if ours > told {
             told = ours;
-            if let Err(error) = send(&mut socket, &PeerMessage::Ping { as_of: ours }).await {
+            if let Err(error) = send(&mut socket, &peers.ping()).await {
                 return error;
             }
         }
-        let wake = news_due.unwrap_or_else(|| Instant::now() + IDLE_PING);
+        if known_due.is_some_and(|due| due <= Instant::now()) {
+            known_due = None;
+            let message = PeerMessage::Known { known: known.borrow().clone() };
+            if let Err(error) = send(&mut socket, &message).await {
+                return error;
+            }
+        }
+        let due = [news_due, known_due].into_iter().flatten().min();
+        let wake = due.unwrap_or_else(|| Instant::now() + IDLE_PING);
         let message = tokio::select! {
             message = tokio::time::timeout_at(last_heard + SILENCE_LIMIT, socket.next()) => message,
             _ = news.changed() => continue,
             _ = known.changed() => {
-                let message = PeerMessage::Known { known: known.borrow_and_update().clone() };
-                match send(&mut socket, &message).await {
-                    Ok(()) => continue,
-                    Err(error) => return error,
-                }
+                known.borrow_and_update();
+                known_due.get_or_insert(Instant::now() + KNOWN_DELAY);
+                continue;
             }
             () = tokio::time::sleep_until(wake) => {
-                if news_due.is_some() {
+                if due.is_some() {
                     continue;
                 }
-                match send(&mut socket, &PeerMessage::Ping { as_of: ours }).await {
+                match send(&mut socket, &peers.ping()).await {
                     Ok(()) => continue,
                     Err(error) => return error,
                 }
@@ -249,8 +284,15 @@
                 theirs = theirs.map(|revision| revision.max(update.as_of));
                 peers.state.take_over(&update, "peer");
             }
-            Ok(PeerMessage::Ping { as_of }) => {
+            Ok(PeerMessage::Ping { age_ms, as_of, reads }) => {
                 theirs = theirs.map(|revision| revision.max(as_of));
+                they_read = reads;
+                // An age tells of this VM's own knowledge only where it knows as much.
+                if let Some(age_ms) = age_ms
+                    && as_of <= peers.state.as_of()
+                {
+                    peers.state.confirm(Duration::from_millis(age_ms));
+                }
             }
             Err(error) => return format!("unreadable message: {error}"),
         }
--- a/crates/hawthornstand/src/gateway/pool.rs
+++ b/crates/hawthornstand/src/gateway/pool.rs
@@ -73,10 +73,14 @@
         self.max_open.store(max_open.max(1), Ordering::Relaxed);
     }
 
+    /// Returns the number of connections that may be open.
+    pub fn max_open(&self) -> usize {
+        self.max_open.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a connection is idle or may be opened.
     pub fn has_room(&self) -> bool {
-        self.open.load(Ordering::Relaxed) < self.max_open.load(Ordering::Relaxed)
-            || !lock(&self.idle).is_empty()
+        self.open.load(Ordering::Relaxed) < self.max_open() || !lock(&self.idle).is_empty()
     }
 
     /// Returns the number of open connections.
@@ -104,11 +108,11 @@
 
     /// Opens a connection.
     pub async fn connect(&self) -> Result<Connection, ConnectError> {
-        if self.open.load(Ordering::Relaxed) >= self.max_open.load(Ordering::Relaxed) {
+        if self.open.load(Ordering::Relaxed) >= self.max_open() {
             // A connection nobody uses makes room for one that is needed now.
             lock(&self.idle).pop();
         }
-        if self.open.fetch_add(1, Ordering::Relaxed) >= self.max_open.load(Ordering::Relaxed) {
+        if self.open.fetch_add(1, Ordering::Relaxed) >= self.max_open() {
             self.open.fetch_sub(1, Ordering::Relaxed);
             return Err(ConnectError::ShareInUse);
         }
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -37,6 +37,8 @@
 /// Routes and backend servers, merged from the store and from other VMs.
 pub struct State {
     pub directory: Directory,
+    /// When the store last confirmed what is known, here or at another VM.
+    confirmed: Mutex<Option<Instant>>,
     contact: Mutex<Contact>,
     in_force: RwLock<Option<Arc<InForce>>>,
     items: Mutex<Items>,
@@ -55,6 +57,7 @@
     ) -> Self {
         Self {
             directory: Directory::new(settings.clone()),
+            confirmed: Mutex::default(),
             contact: Mutex::new(Contact {
                 away: false,
                 back_since: Instant::now(),
@@ -94,6 +97,18 @@
         self.in_force().is_some() && self.as_of() > 0
     }
 
+    /// Notes that the store confirmed what is known a while ago.
+    pub fn confirm(&self, age: Duration) {
+        let Some(at) = Instant::now().checked_sub(age) else { return };
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = Some(confirmed.map_or(at, |known| known.max(at)));
+    }
+
+    /// Returns the time since the store last confirmed what is known.
+    pub fn age_of_knowledge(&self) -> Option<Duration> {
+        lock(&self.confirmed).map(|at| at.elapsed())
+    }
+
     /// Notes whether the store answers; returns whether that is news.
     pub fn set_store_away(&self, away: bool) -> bool {
         let mut contact = lock(&self.contact);
--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -9,8 +9,10 @@
 use crate::gateway::telemetry::Telemetry;
 use crate::ids::Revision;
 
-/// Longest wait of one watch; a lost connection shows at its end.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Wait of the watches of a VM that knows of no others.
+const LONE_WAIT: Duration = Duration::from_millis(800);
+/// Time between two looks whether this VM has to read.
+const DUTY_CHECK: Duration = Duration::from_millis(250);
 /// Wait of a watch while it is not known whether the store answers.
 const TRIAL_WAIT: Duration = Duration::from_millis(100);
 /// First and last pause after a failed read.
@@ -21,13 +23,45 @@
 /// Time over which changes are gathered, so that a series of them costs one read.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Tells whether this VM reads the store itself.
+pub trait ReadDuty: Send + Sync {
+    /// Returns whether it reads now.
+    fn reads(&self) -> bool;
+    /// Returns the longest wait of one watch; a connection that fell silent shows at its end.
+    fn watch_wait(&self) -> Duration;
+}
+
+/// Duty of a VM that knows of no others.
+pub struct ReadsAlways;
+
+impl ReadDuty for ReadsAlways {
+    fn reads(&self) -> bool {
+        true
+    }
+
+    fn watch_wait(&self) -> Duration {
+        LONE_WAIT
+    }
+}
+
 /// Reads until the process ends.
-pub async fn run(state: Arc<State>, store: Arc<dyn PublishedStore>, telemetry: Arc<Telemetry>) {
+pub async fn run(
+    state: Arc<State>,
+    store: Arc<dyn PublishedStore>,
+    duty: Arc<dyn ReadDuty>,
+    telemetry: Arc<Telemetry>,
+) {
     let mut known: Option<Revision> = None;
     let mut pause = FIRST_PAUSE;
     // Whether it is unknown if the store answers watches.
     let mut on_trial = false;
     loop {
+        if known.is_some() && !duty.reads() {
+            tokio::time::sleep(DUTY_CHECK.mul_f64(rand::random_range(0.5..1.5))).await;
+            // What links have told needs no second reading.
+            known = known.max(Some(state.as_of()));
+            continue;
+        }
         let after = known;
         let read = match after {
             None => {
@@ -36,7 +70,7 @@
             }
             Some(revision) => {
                 telemetry.store_reads.inc();
-                let wait = if on_trial { TRIAL_WAIT } else { WATCH_WAIT };
+                let wait = if on_trial { TRIAL_WAIT } else { duty.watch_wait() };
                 watch(&state, &*store, revision, wait).await
             }
         };
@@ -47,6 +81,7 @@
                     log::info!(as_of = list.as_of; "store regained");
                 }
                 pause = FIRST_PAUSE;
+                state.confirm(Duration::ZERO);
                 let had_news = !list.changes.is_empty();
                 known = Some(list.as_of.max(after.unwrap_or(0)));
                 state.take_over(&to_update(list, after, state.store_was_away()), "store");
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_choice.rs
@@ -0,0 +1,60 @@
+//! Where work goes: the load patterns of heavy days, on the choice alone.
+
+use std::time::Duration;
+
+use hawthornstand::gateway::choice::{Candidate, Standing, choose, is_any_usable};
+use rstest::rstest;
+
+/// An idle, healthy replica nearby.
+const NEAR: Candidate = Candidate {
+    expected: Duration::from_millis(8),
+    failure_rate: 0.0,
+    has_connection: true,
+    in_flight: 0,
+    slots: 2,
+    standing: Standing::Usable,
+};
+/// The same one region away.
+const FAR: Candidate = Candidate { expected: Duration::from_millis(50), ..NEAR };
+
+#[rstest]
+#[case::calm([NEAR, FAR, FAR], Some(0))]
+#[case::pausing_replica([Candidate { standing: Standing::Pausing, ..NEAR }, FAR, FAR], Some(1))]
+#[case::slow_replica([Candidate { expected: Duration::from_millis(64), ..NEAR }, FAR, FAR], Some(1))]
+#[case::queue_behind_own_calls([Candidate { in_flight: 12, ..NEAR }, FAR, FAR], Some(1))]
+#[case::short_queue_beats_distance([Candidate { in_flight: 4, ..NEAR }, FAR, FAR], Some(0))]
+#[case::replica_that_fails_half([Candidate { failure_rate: 0.5, ..NEAR }, FAR, FAR], Some(1))]
+#[case::replica_that_fails_rarely([Candidate { failure_rate: 0.1, ..NEAR }, FAR, FAR], Some(0))]
+#[case::no_connection_left([Candidate { has_connection: false, ..NEAR }, FAR, FAR], Some(1))]
+#[case::entry_that_vanished([Candidate { standing: Standing::Doubtful, ..NEAR }, FAR, FAR], Some(1))]
+#[case::every_replica_pauses(
+    [Candidate { standing: Standing::Pausing, ..NEAR }, Candidate { standing: Standing::Pausing, ..FAR },
+     Candidate { standing: Standing::Pausing, ..FAR }],
+    Some(0)
+)]
+#[case::whole_shard_down(
+    [Candidate { standing: Standing::Unusable, ..NEAR }, Candidate { standing: Standing::Unusable, ..FAR },
+     Candidate { standing: Standing::Unusable, ..FAR }],
+    None
+)]
+fn chooses(#[case] candidates: [Candidate; 3], #[case] expected: Option<usize>) {
+    assert_eq!(choose(&candidates.map(Some), 0), expected);
+}
+
+#[test]
+fn equal_replicas_take_turns() {
+    let candidates = [Some(FAR), Some(FAR), Some(FAR)];
+    assert_eq!([0, 1, 2].map(|turn| choose(&candidates, turn)), [Some(0), Some(1), Some(2)]);
+}
+
+#[test]
+fn asked_replicas_are_left_out() {
+    assert_eq!(choose(&[None, Some(FAR), None], 0), Some(1));
+    assert_eq!(choose(&[None, None, None], 0), None);
+}
+
+#[test]
+fn replica_without_a_free_connection_is_still_worth_waiting_for() {
+    let busy = Some(Candidate { has_connection: false, ..NEAR });
+    assert_eq!((choose(&[busy], 0), is_any_usable(&[busy])), (None, true));
+}
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_listing.rs
@@ -0,0 +1,77 @@
+//! What a vanished entry means, and when it is believed.
+
+use std::time::Duration;
+
+use hawthornstand::gateway::listing::{Listing, RETURN_OF_ENTRIES, age, on_removal};
+use hawthornstand::gateway::readers::{MAX_AGE, READERS, SMALL_FLEET, reads};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const DRAIN: Duration = Duration::from_millis(3000);
+
+#[test]
+fn removal_is_believed_in_time_for_draining_where_the_store_was_never_lost() {
+    let start = Instant::now();
+    let removed = start + Duration::from_secs(60);
+    let listing = on_removal(removed, false);
+    assert_eq!(age(listing, removed, Some(start), DRAIN), listing);
+    let later = removed + DRAIN.mul_f64(0.7);
+    assert_eq!(age(listing, later, Some(start), DRAIN), Listing::Leaving);
+}
+
+#[test]
+fn lapse_is_forgiven_while_the_store_is_away() {
+    let now = Instant::now();
+    let listing = on_removal(now, true);
+    assert_eq!(age(listing, now + Duration::from_secs(60), None, DRAIN), listing);
+}
+
+#[test]
+fn lapse_is_believed_once_entries_had_time_to_come_back() {
+    let now = Instant::now();
+    let listing = on_removal(now, true);
+    let back = now + Duration::from_secs(5);
+    let before = back + RETURN_OF_ENTRIES - Duration::from_millis(1);
+    assert_eq!(age(listing, before, Some(back), DRAIN), listing);
+    assert_eq!(age(listing, back + RETURN_OF_ENTRIES, Some(back), DRAIN), Listing::Leaving);
+}
+
+#[test]
+fn removal_learnt_from_another_vm_is_believed_by_one_that_never_lost_the_store() {
+    let start = Instant::now();
+    let removed = start + Duration::from_secs(60);
+    let listing = on_removal(removed, true);
+    let later = removed + RETURN_OF_ENTRIES;
+    assert_eq!(age(listing, later, Some(start), DRAIN), Listing::Leaving);
+}
+
+/// Returns a fleet's addresses.
+fn fleet(size: usize) -> Vec<std::net::SocketAddr> {
+    (0..size)
+        .map(|index| ([10, 0, (index / 250) as u8, (index % 250) as u8], 8224).into())
+        .collect()
+}
+
+/// Counts the readers of a fleet whose VMs all know each other.
+fn readers_of(size: usize, age: Option<Duration>) -> usize {
+    let all = fleet(size);
+    let reads_store = |own: &std::net::SocketAddr| {
+        let known: Vec<_> = all.iter().filter(|other| *other != own).copied().collect();
+        reads(*own, &known, age)
+    };
+    all.iter().filter(|own| reads_store(own)).count()
+}
+
+#[rstest]
+#[case::small_fleet(SMALL_FLEET, Some(Duration::ZERO), SMALL_FLEET)]
+#[case::large_fleet(70, Some(Duration::ZERO), READERS)]
+#[case::design_size(1300, Some(Duration::ZERO), READERS)]
+#[case::readers_gone(70, Some(MAX_AGE + Duration::from_millis(1)), 70)]
+#[case::nothing_known(70, None, 70)]
+fn a_few_vms_read_the_store(
+    #[case] size: usize,
+    #[case] age: Option<Duration>,
+    #[case] expected: usize,
+) {
+    assert_eq!(readers_of(size, age), expected);
+}
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -0,0 +1,248 @@
+//! Routes, shares, estimates, budgets and the state of one backend server, without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornstand::budget::Budget;
+use hawthornstand::clock::SystemClock;
+use hawthornstand::gateway::choice::Standing;
+use hawthornstand::gateway::directory::Directory;
+use hawthornstand::gateway::estimate::Estimate;
+use hawthornstand::gateway::listing::Listing;
+use hawthornstand::gateway::model::{
+    PublishedServer, PublishedService, Repeat, Route, Target, WeightedService,
+};
+use hawthornstand::gateway::routes::{Destination, PlacedRoute, RouteTable};
+use hawthornstand::gateway::server::MAX_PAUSE;
+use hawthornstand::gateway::settings::{ExtraBounds, GatewaySettings, Place};
+use hawthornstand::gateway::shares::Shares;
+use hawthornstand::gateway::time_budget::TimeBudget;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn settings() -> GatewaySettings {
+    let any = ([127, 0, 0, 1], 0).into();
+    let regions = ["a:east", "b:east", "c:west"]
+        .map(|pair| pair.split_once(':').map(|(a, b)| (a.to_string(), b.to_string())))
+        .into_iter()
+        .flatten()
+        .collect();
+    GatewaySettings {
+        assumed_fleet: 12,
+        caller_address: any,
+        drain: Duration::from_secs(4),
+        extra: ExtraBounds { ratio: 0.2, floor: 56.0, window: Duration::from_secs(10) },
+        grace: Duration::from_secs(6),
+        metrics_address: None,
+        peer_address: None,
+        place: Place { failure_domain: "a".to_string(), region: "east".to_string(), regions },
+        readiness_address: any,
+        seeds: Vec::new(),
+        vm_id: "front-1".to_string(),
+    }
+}
+
+fn server(id: &str, born_unix_ms: u64, leaving: bool) -> PublishedServer {
+    PublishedServer {
+        id: id.to_string(),
+        born_unix_ms,
+        service: "portal".to_string(),
+        address: ([127, 0, 0, 1], 9).into(),
+        failure_domain: "a".to_string(),
+        slots: 2,
+        leaving,
+        warmup_left: Duration::ZERO,
+    }
+}
+
+fn route(host: &str, path_prefix: &str) -> PlacedRoute {
+    let service = "portal".to_string();
+    let route = Route {
+        name: path_prefix.to_string(),
+        host: host.to_string(),
+        path_prefix: path_prefix.to_string(),
+        repeat: Repeat::Idempotent,
+        time_limit: Duration::from_secs(2),
+        goal: Duration::from_millis(200),
+        max_attempts: 2,
+        priority: 0,
+        target: Target::One(vec![WeightedService { service, weight: 1.0 }]),
+    };
+    PlacedRoute { route, destination: Destination::One(Shares::new(Vec::new(), 0.0)) }
+}
+
+#[rstest]
+#[case("desk.example", "/a/x", Some("/a/"))]
+#[case("desk.example", "/a/b/x", Some("/a/b/"))]
+#[case("desk.example", "/a/b", Some("/a/"))]
+#[case("desk.example", "/a/b/", Some("/a/b/"))]
+#[case("desk.example", "/a", None)]
+#[case("desk.example", "/ab/x", None)]
+#[case("DESK.example:8080", "/a/x", Some("/a/"))]
+#[case("other.example", "/a/x", Some("/"))]
+#[case("nobody.example", "/a/x", None)]
+#[case("desk.example", "", None)]
+fn longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = RouteTable::new(vec![
+        route("desk.example", "/a/"),
+        route("other.example", "/"),
+        route("desk.example", "/a/b/"),
+    ]);
+    let found = table.find(host, path).map(|placed| placed.route.path_prefix.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn shares_follow_their_weights() {
+    let directory = Directory::new(settings());
+    let shares =
+        Shares::new(vec![(directory.service("x"), 3.0), (directory.service("y"), 1.0)], 0.4);
+    let picks: Vec<String> =
+        (0..400).filter_map(|_| shares.next()).map(|s| s.name.clone()).collect();
+    assert_eq!(picks.iter().filter(|name| *name == "x").count(), 300);
+}
+
+#[test]
+fn share_without_weight_gets_nothing() {
+    let directory = Directory::new(settings());
+    let shares = Shares::new(vec![(directory.service("x"), 0.0)], 0.0);
+    assert!(shares.next().is_none());
+}
+
+#[test]
+fn estimate_widens_with_the_spread_and_returns_to_the_prior() {
+    let (now, prior) = (Instant::now(), Duration::from_millis(50));
+    let mut steady = Estimate::default();
+    let mut spread = Estimate::default();
+    for index in 0..200_u64 {
+        steady.observe(Duration::from_millis(40), now);
+        spread.observe(Duration::from_millis(20 + 40 * (index % 2)), now);
+    }
+    assert!(spread.overdue(prior) > steady.overdue(prior) * 2);
+    let long_ago = now + Duration::from_secs(60);
+    let drift = prior.abs_diff(steady.expected(prior, long_ago));
+    assert!(drift < Duration::from_millis(1), "still {drift:?} from the prior");
+}
+
+#[test]
+fn extra_attempts_of_the_fleet_stay_within_the_published_bound() {
+    let settings = settings();
+    for fleet in [1, 8, 12, 56, 70] {
+        let now = Instant::now();
+        let mut extra = 0;
+        for vm in 0..fleet {
+            // Uneven traffic: a third of the VMs carry all of it.
+            let requests = if vm % 3 == 0 { 300 } else { 0 };
+            let budget = Budget::new(settings.budget(), now);
+            budget.set_min_extra(settings.extra_floor(fleet));
+            budget.record_first(now, requests);
+            extra += (0..10_000).take_while(|_| budget.try_take(now)).count();
+        }
+        let requests = fleet.div_ceil(3) * 300;
+        let bound = requests as f64 * settings.extra.ratio + settings.extra.floor;
+        assert!(
+            extra as f64 <= bound,
+            "{extra} extra attempts in a fleet of {fleet}, bound {bound}"
+        );
+    }
+}
+
+/// Returns the standing of the only backend server of the portal.
+fn standing(directory: &Directory, at: Instant) -> Option<Standing> {
+    directory.service("portal").servers().first().map(|server| server.candidate(at).standing)
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_a_pause_first_and_an_outage_later() {
+    let directory = Directory::new(settings());
+    directory.put(server("i-1", 1, false));
+    let service = directory.service("portal");
+    let server = &service.servers()[0];
+    let sent = Instant::now();
+    assert!(server.record_overdue(sent, sent + Duration::from_millis(30)));
+    assert_eq!(standing(&directory, sent + Duration::from_millis(60)), Some(Standing::Pausing));
+    let later = sent + Duration::from_millis(30) + MAX_PAUSE;
+    assert_eq!(standing(&directory, later), Some(Standing::Unusable));
+    assert!(server.begin_probe(later));
+    assert!(!server.begin_probe(later), "probes are spaced");
+    server.record_sign_of_life(later);
+    assert_eq!(standing(&directory, later), Some(Standing::Usable));
+}
+
+#[test]
+fn answer_since_the_call_was_sent_is_no_silence() {
+    let directory = Directory::new(settings());
+    directory.put(server("i-1", 1, false));
+    let service = directory.service("portal");
+    let server = &service.servers()[0];
+    let sent = Instant::now();
+    server.record_sign_of_life(sent + Duration::from_millis(5));
+    assert!(!server.record_overdue(sent, sent + Duration::from_millis(30)));
+}
+
+#[test]
+fn refusal_for_lack_of_room_prefers_others_for_a_moment() {
+    let directory = Directory::new(settings());
+    directory.put(server("i-1", 1, false));
+    let now = Instant::now();
+    directory.service("portal").servers()[0].record_full(now);
+    assert_eq!(standing(&directory, now), Some(Standing::Doubtful));
+    assert_eq!(standing(&directory, now + Duration::from_millis(100)), Some(Standing::Usable));
+}
+
+#[test]
+fn reborn_server_starts_without_a_past() {
+    let directory = Directory::new(settings());
+    directory.put(server("i-1", 1, false));
+    directory.service("portal").servers()[0].record_unreachable(Instant::now());
+    assert_eq!(standing(&directory, Instant::now()), Some(Standing::Unusable));
+    assert!(directory.put(server("i-1", 2, false)));
+    assert_eq!(standing(&directory, Instant::now()), Some(Standing::Usable));
+    assert_eq!(directory.service("portal").servers().len(), 1);
+}
+
+#[test]
+fn heartbeat_of_the_same_process_changes_nothing() {
+    let directory = Directory::new(settings());
+    assert!(directory.put(server("i-1", 1, false)));
+    assert!(!directory.put(server("i-1", 1, false)));
+    assert!(directory.put(server("i-1", 1, true)));
+    assert_eq!(directory.service("portal").servers()[0].listing(), Listing::Leaving);
+}
+
+#[rstest]
+#[case::today(8, 26)]
+#[case::spares_in(11, 26)]
+#[case::krtacka(12, 31)]
+fn two_generations_of_a_fleet_fit_the_connection_limit(#[case] fleet: usize, #[case] limit: usize) {
+    let mut open = 0;
+    for vm in 0..fleet {
+        let directory = Directory::new(settings());
+        directory.publish_services(&[PublishedService {
+            name: "portal".to_string(),
+            health_path: "/health".to_string(),
+            max_connections: limit,
+        }]);
+        directory.set_fleet(fleet);
+        // A third of the fleet stands in the server's region.
+        let failure_domain = if vm % 3 == 0 { "a" } else { "c" };
+        directory.put(PublishedServer {
+            failure_domain: failure_domain.to_string(),
+            ..server("i-1", 1, false)
+        });
+        open += directory.service("portal").servers()[0].pool.max_open();
+    }
+    assert!(2 * open <= limit + fleet, "two generations hold {} of {limit}", 2 * open);
+}
+
+#[test]
+fn time_budget_runs_out() {
+    let time = TimeBudget::start(Arc::new(SystemClock), Duration::ZERO);
+    assert!(time.is_spent());
+    let time = TimeBudget::start(Arc::new(SystemClock), Duration::from_secs(60));
+    assert!(!time.is_spent() && time.left() > Duration::from_secs(59));
+}
