--- a/crates/hawthornstand/src/bin/hawthornstand.rs
+++ b/crates/hawthornstand/src/bin/hawthornstand.rs
@@ -5,6 +5,7 @@
 
 use gumdrop::Options;
 use hawthornstand::cli::{self, CliError, Output};
+use hawthornstand::request_story;
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -22,6 +23,8 @@
     Check(Check),
     #[options(help = "show which backend servers a service's selector picks")]
     Explain(Explain),
+    #[options(help = "show what logs say of one request, in order")]
+    ExplainRequest(ExplainRequest),
     #[options(help = "send a search")]
     Query(Query),
     #[options(help = "show the state of a VM")]
@@ -66,6 +69,16 @@
     service: String,
 }
 
+#[derive(Debug, Options)]
+struct ExplainRequest {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "id of the request")]
+    id: String,
+    #[options(free, help = "logs of the VMs")]
+    files: Vec<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 struct Query {
     #[options(help = "print this help")]
@@ -139,6 +152,7 @@
         Command::Explain(explain) => {
             cli::explain(&explain.address, &explain.service, output(explain.json)).await
         }
+        Command::ExplainRequest(explain) => request_story::tell(&explain.id, &explain.files),
         Command::Query(query) => {
             let request = cli::QueryRequest {
                 complete_only: query.complete,
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -1,6 +1,5 @@
 //! Answers callers: finds the route of a request and forwards or scatters it.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -21,7 +20,7 @@
 use crate::gateway::speech::CallerHeaders;
 use crate::gateway::state::{InForce, State};
 use crate::gateway::time_budget::TimeBudget;
-use crate::gateway::{forward, scatter};
+use crate::gateway::{forward, scatter, status};
 use crate::http_server::HttpLimits;
 use crate::messages::Outcome;
 
@@ -36,6 +35,8 @@
     header::UPGRADE,
 ];
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Path of the status beside the metrics.
+const STATUS_PATH: &str = "/status";
 /// Limits until a configuration is in force.
 const FIRST_LIMITS: HttpLimits =
     HttpLimits { header_timeout: Duration::from_secs(15), max_header_bytes: 16 * 1024 };
@@ -283,10 +284,18 @@
     response
 }
 
-/// Serves metrics as text.
-pub async fn metrics(
-    callers: Arc<Callers>,
-    _request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    Ok(Response::new(Full::from(callers.means.telemetry.encode())))
+/// Serves metrics as text and, at `/status`, what this VM believes as JSON.
+pub async fn metrics(callers: Arc<Callers>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != STATUS_PATH {
+        return Response::new(Full::from(callers.means.telemetry.encode()));
+    }
+    match serde_json::to_vec(&status::describe(&callers.state)) {
+        Ok(json) => Response::new(Full::from(json)),
+        Err(error) => {
+            log::warn!("status cannot be written: {error}");
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
 }
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::Response;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -65,12 +64,7 @@
             listener,
             running.clone(),
             HttpLimits::default,
-            move |request| {
-                let callers = Arc::clone(&callers);
-                async move {
-                    callers::metrics(callers, request).await.unwrap_or_else(|_| Response::default())
-                }
-            },
+            move |request| callers::metrics(Arc::clone(&callers), request),
         ));
     }
     tokio::spawn(http_server::serve(readiness_listener, running, HttpLimits::default, {
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod shares;
 pub mod speech;
 pub mod state;
+pub mod status;
 pub mod store_watch;
 pub mod telemetry;
 pub mod time_budget;
--- a/crates/hawthornstand/tests/contract_caller.rs
+++ b/crates/hawthornstand/tests/contract_caller.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornstand::http_server::HttpLimits;
 use hawthornstand::{caller_http, http_server};
 use hawthornstand_standins::http;
 use rstest::rstest;
@@ -20,7 +21,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address").to_string();
     let (_stop, stopped) = watch::channel(false);
-    tokio::spawn(http_server::serve(Arc::clone(&context), listener, stopped, caller_http::handle));
+    tokio::spawn(http_server::serve(listener, stopped, HttpLimits::default, {
+        let context = Arc::clone(&context);
+        move |request| caller_http::handle(Arc::clone(&context), request)
+    }));
     let headers: Vec<(&str, String)> =
         headers.iter().map(|(name, value)| (*name, value.to_string())).collect();
     let reply = http::send(&address, method, path, &headers, body).await.expect("an answer");
--- /dev/null
+++ b/crates/hawthornstand/tests/log_lines.rs
@@ -0,0 +1,85 @@
+//! Bounded logs, and the story of one request told from them.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use hawthornstand::log_limit::{LINES_PER_WINDOW, LimitedLog, WINDOW};
+use hawthornstand::request_story;
+use log::{Log, Metadata, Record};
+
+/// Keeps every line.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<String>>>);
+
+impl Log for Kept {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+impl Kept {
+    fn take(&self) -> Vec<String> {
+        std::mem::take(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Writes a line as if from a line number of this file.
+fn write(log: &impl Log, line: u32, text: &str) {
+    log.log(
+        &Record::builder()
+            .file_static(Some(file!()))
+            .line(Some(line))
+            .args(format_args!("{text}"))
+            .build(),
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn flood_of_one_kind_leaves_room_for_others_and_says_what_it_left_out() {
+    let kept = Kept::default();
+    let log = LimitedLog::new(kept.clone());
+    for _ in 0..LINES_PER_WINDOW + 25 {
+        write(&log, 1, "hedged");
+    }
+    write(&log, 2, "store lost");
+    let lines = kept.take();
+    assert_eq!(lines.iter().filter(|line| *line == "hedged").count(), LINES_PER_WINDOW as usize);
+    assert_eq!(lines.last().map(String::as_str), Some("store lost"));
+    tokio::time::advance(WINDOW).await;
+    write(&log, 1, "hedged");
+    assert_eq!(kept.take(), ["25 lines like the next were left out", "hedged"]);
+}
+
+#[test]
+fn story_of_a_request_is_told_in_order_from_several_logs() {
+    let folder = std::env::temp_dir().join(format!("hawthornstand-story-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let first = folder.join("front-1.log");
+    let second = folder.join("front-2.log");
+    std::fs::write(
+        &first,
+        "[2026-05-06T05:30:08.133Z INFO  callers] answered in part request=ab missing=x\n\
+         [2026-05-06T05:30:08.050Z INFO  attempts] hedged request=ab server=i-1\n\
+         [2026-05-06T05:30:08.060Z INFO  attempts] hedged request=abc server=i-1\n",
+    )
+    .expect("a log");
+    std::fs::write(
+        &second,
+        "[2026-05-06T05:30:09.000Z INFO  callers] refused request=ab status=503\n",
+    )
+    .expect("a log");
+    let story = request_story::tell("ab", &[second, first]).expect("readable logs");
+    std::fs::remove_dir_all(&folder).expect("a folder to remove");
+    insta::assert_snapshot!(story);
+}
+
+#[test]
+fn request_without_lines_is_explained() {
+    let story = request_story::tell("ab", &[]).expect("no logs");
+    assert!(story.starts_with("no line names request ab"));
+}
