--- a/crates/hawthornstand/src/bin/hawthornstandd.rs
+++ b/crates/hawthornstand/src/bin/hawthornstandd.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use hawthornstand::daemon::{self, Ending};
-use hawthornstand::settings;
+use hawthornstand::ending::Ending;
+use hawthornstand::{daemon, settings};
 
 /// Allocator; the system one took a fifth of the time of a backend call.
 #[global_allocator]
--- a/crates/hawthornstand/src/daemon.rs
+++ b/crates/hawthornstand/src/daemon.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::ending::Ending;
 use crate::http_server::HttpLimits;
 use crate::platform::HttpPlatform;
 use crate::settings::DaemonSettings;
@@ -17,15 +18,6 @@
     http_server, link, overlay, startup, trace,
 };
 
-/// How the daemon ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ending {
-    /// Every request ended.
-    Clean,
-    /// The limit on the planned stop was hit, or a second signal came, with requests running.
-    CutOff,
-}
-
 /// Runs the daemon until SIGTERM or SIGINT.
 pub async fn run(settings: DaemonSettings) -> std::io::Result<Ending> {
     trace::start(&settings.trace, &settings.vm_id)?;
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::clock::SystemClock;
-use crate::daemon::Ending;
+use crate::ending::Ending;
 use crate::gateway::attempts::Means;
 use crate::gateway::callers::{self, Callers};
 use crate::gateway::peer_link::{self, Peers};
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -17,9 +17,9 @@
 /// Part of a backend server's connection limit that the fleet uses: a fleet that lost power leaves as
 /// many connections behind, which count until the backend server notices.
 const CONNECTION_SHARE: f64 = 0.5;
-/// Share of a VM in the connections of near backend servers, against that in distant ones: requests go
-/// to distant ones only where near ones fail.
-const NEAR_FACTOR: f64 = 2.0;
+/// Share of a VM in the connections of its nearest backend servers, against that in the others: requests
+/// go to the others only where the nearest ones fail.
+const NEAREST_FACTOR: f64 = 2.0;
 /// Most connections of one VM to one backend server: more requests than that wait too long in its queue.
 const MAX_CONNECTIONS: usize = 12;
 /// Connection limit assumed until the service is published.
@@ -137,8 +137,9 @@
         let service = self.service(&published.service);
         let share = service.connection_share(self.fleet());
         let proximity = self.settings.place.proximity(&published.failure_domain);
-        let pool = Pool::new(published.address, max_open(share, proximity));
+        let pool = Pool::new(published.address, max_open(share, false));
         self.insert(&service, Arc::new(Server::new(published, proximity, pool)));
+        self.share_connections(&service);
         true
     }
 
@@ -170,6 +171,7 @@
                     server.pool.close_idle();
                 }
             }
+            self.share_connections(&service);
         }
     }
 
@@ -215,8 +217,11 @@
     /// Divides the connection limit of a service's backend servers among the VMs.
     fn share_connections(&self, service: &Service) {
         let share = service.connection_share(self.fleet());
-        for server in service.servers().iter() {
-            server.pool.set_max_open(max_open(share, server.proximity));
+        let servers = service.servers();
+        let staying = servers.iter().filter(|server| server.listing() != Listing::Leaving);
+        let nearest = staying.map(|server| server.proximity).min();
+        for server in servers.iter() {
+            server.pool.set_max_open(max_open(share, Some(server.proximity) <= nearest));
         }
     }
 }
@@ -236,8 +241,8 @@
 }
 
 /// Returns the connections that a share stands for.
-fn max_open(share: f64, proximity: Proximity) -> usize {
-    let factor = if proximity == Proximity::OtherRegion { 1.0 } else { NEAR_FACTOR };
+fn max_open(share: f64, is_nearest: bool) -> usize {
+    let factor = if is_nearest { NEAREST_FACTOR } else { 1.0 };
     ((share * factor) as usize).clamp(1, MAX_CONNECTIONS)
 }
 
