--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -10,6 +10,7 @@
 use crate::gateway::call::{Answer, Call, CallEnd, Outbound};
 use crate::gateway::choice::{self, Candidate};
 use crate::gateway::directory::Service;
+use crate::gateway::estimate;
 use crate::gateway::listing::Listing;
 use crate::gateway::model::Repeat;
 use crate::gateway::pool::ConnectError;
@@ -107,7 +108,7 @@
                 let Some(call) = self.start_next().await else {
                     return Err(std::mem::replace(&mut self.last, AttemptsError::NoServer));
                 };
-                hedge_at = call.sent + call.server.overdue();
+                hedge_at = call.sent + self.hedge_delay(&call.server);
                 running.push(call);
             }
             let may_hedge = self.request.repeat == Repeat::Idempotent;
@@ -223,11 +224,17 @@
         self.means.telemetry.hedges.inc();
         self.log("hedged", &server.published.id);
         let call = self.start(server);
-        let next = now + call.server.overdue();
+        let next = now + self.hedge_delay(&call.server);
         running.push(call);
         next
     }
 
+    /// Returns the time after which another backend server is asked as well.
+    fn hedge_delay(&self, server: &Server) -> Duration {
+        let all = self.service.servers().iter().map(|server| server.overdue()).collect();
+        estimate::hedge_delay(server.overdue(), all)
+    }
+
     /// Marks backend servers whose answers are overdue.
     fn note_overdue(&self, running: &[Call]) {
         let now = Instant::now();
--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -60,3 +60,12 @@
         Duration::from_secs_f64(overdue_s).max(MIN_OVERDUE)
     }
 }
+
+/// Returns the time after which another replica is asked as well, from when the answers of the replicas
+/// are overdue.
+///
+/// A slow replica is given no more time than a typical one: its own estimate would excuse it.
+pub fn hedge_delay(own: Duration, mut of_replicas: Vec<Duration>) -> Duration {
+    of_replicas.sort_unstable();
+    of_replicas.get(of_replicas.len() / 2).map_or(own, |typical| own.min(*typical))
+}
--- a/crates/hawthornstand/src/gateway/partial.rs
+++ b/crates/hawthornstand/src/gateway/partial.rs
@@ -6,7 +6,7 @@
 
 /// Time between an answer leaving here and reaching its caller, and between the caller's first byte
 /// and the request arriving here: two one-way trips, a handshake, and the processor at both ends.
-pub const CALLER_TRIP: Duration = Duration::from_millis(16);
+pub const CALLER_TRIP: Duration = Duration::from_millis(20);
 /// Part of the goal for which a late search still waits for missing shards.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
--- a/crates/hawthornstand/tests/gateway_policy.rs
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -7,7 +7,7 @@
 use hawthornstand::clock::SystemClock;
 use hawthornstand::gateway::choice::Standing;
 use hawthornstand::gateway::directory::Directory;
-use hawthornstand::gateway::estimate::Estimate;
+use hawthornstand::gateway::estimate::{Estimate, hedge_delay};
 use hawthornstand::gateway::listing::Listing;
 use hawthornstand::gateway::model::{
     PublishedServer, PublishedService, Repeat, Route, Target, WeightedService,
@@ -128,6 +128,22 @@
     assert!(drift < Duration::from_millis(1), "still {drift:?} from the prior");
 }
 
+#[rstest]
+#[case::calm_replica_nearby(20, &[20, 70, 70], 20)]
+#[case::distant_replica_while_the_near_one_pauses(70, &[20, 70, 70], 70)]
+#[case::slow_replica_nearby(400, &[400, 70, 70], 70)]
+#[case::every_replica_slow(400, &[400, 420, 430], 400)]
+#[case::only_replica(400, &[400], 400)]
+fn hedge_goes_out_when_a_typical_replica_would_be_overdue(
+    #[case] own_ms: u64,
+    #[case] replicas_ms: &[u64],
+    #[case] expected_ms: u64,
+) {
+    let replicas = replicas_ms.iter().map(|ms| Duration::from_millis(*ms)).collect();
+    let delay = hedge_delay(Duration::from_millis(own_ms), replicas);
+    assert_eq!(delay, Duration::from_millis(expected_ms));
+}
+
 #[test]
 fn extra_attempts_of_the_fleet_stay_within_the_published_bound() {
     let settings = settings();
