Send work to a distant server only if it is better by more than the spread of its times

Cause: of servers whose requests take 160 ms the distant ones differ by 24 ms, so chance sent two thirds of the lookups to other regions.

--- a/crates/hawthornstand/src/gateway/choice.rs
+++ b/crates/hawthornstand/src/gateway/choice.rs
@@ -25,6 +25,8 @@
     #[derive(Copy)]
     pub struct Candidate {
         pub expected: Duration,
+        /// Time by which it must be better than a near one; 0 for near ones.
+        pub handicap: Duration,
         /// Share of its answers that were failures, 0 to 1.
         pub failure_rate: f64,
         /// Own calls that run there.
@@ -40,7 +42,7 @@
     /// Returns the time after which an answer is expected, failures included.
     pub fn cost(&self) -> Duration {
         let queue = 1.0 + f64::from(self.in_flight) / f64::from(self.slots.max(1));
-        self.expected.mul_f64(queue) + FAILURE_COST.mul_f64(self.failure_rate)
+        self.expected.mul_f64(queue) + FAILURE_COST.mul_f64(self.failure_rate) + self.handicap
     }
 }
 
--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -51,6 +51,14 @@
         Duration::from_secs_f64(trust * self.mean_s + (1.0 - trust) * prior.as_secs_f64())
     }
 
+    /// Returns the mean deviation; half of the prior before the first sample.
+    pub fn spread(&self, prior: Duration) -> Duration {
+        if self.updated.is_none() {
+            return prior / 2;
+        }
+        Duration::from_secs_f64(self.deviation_s)
+    }
+
     /// Returns the time after which an answer is overdue.
     pub fn overdue(&self, prior: Duration) -> Duration {
         if self.updated.is_none() {
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -183,12 +183,20 @@
         lock(&self.state).estimate.overdue(self.proximity.prior())
     }
 
-    /// Describes the backend server for a choice; a new connection to a distant one costs a round trip.
+    /// Describes the backend server for a choice.
+    ///
+    /// A distant one has to be better by more than the spread of its times, so that chance alone sends no
+    /// bytes between regions.
     pub fn candidate(&self, now: Instant) -> Candidate {
         let state = lock(&self.state);
+        let handicap = match self.proximity {
+            Proximity::OtherRegion => state.estimate.spread(self.proximity.prior()),
+            Proximity::SameFailureDomain | Proximity::SameRegion => Duration::ZERO,
+        };
         Candidate {
             expected: state.estimate.expected(self.proximity.prior(), now),
             failure_rate: state.failure_rate(now),
+            handicap,
             has_connection: self.pool.has_room(),
             in_flight: state.in_flight,
             slots: self.published.slots,
