--- a/crates/standins/src/leaf.rs
+++ b/crates/standins/src/leaf.rs
@@ -1,7 +1,7 @@
 //! Stand-in backend server.
 
 use std::io;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -29,6 +29,7 @@
     behaviour: Mutex<Behaviour>,
     boot_id: u64,
     crash: Notify,
+    crashed: AtomicBool,
     executions: Arc<Mutex<Vec<Execution>>>,
     initial: Behaviour,
     queued: AtomicUsize,
@@ -58,8 +59,10 @@
     }
 
     /// Returns whether it runs; a crash ends it.
+    ///
+    /// Connections close a moment before the task counts as finished, so a crash is noted by itself.
     pub fn is_running(&self) -> bool {
-        !self.task.is_finished()
+        !self.task.is_finished() && !self.state.crashed.load(Ordering::Acquire)
     }
 
     /// Starts it again at its address, with its record of executions kept.
@@ -110,6 +113,7 @@
             behaviour: Mutex::new(options.behaviour.clone()),
             boot_id: rand::random_range(1..u64::MAX),
             crash: Notify::new(),
+            crashed: AtomicBool::new(false),
             executions: Arc::clone(&executions),
             initial: options.behaviour.clone(),
             queued: AtomicUsize::new(0),
@@ -225,6 +229,7 @@
         lock(&state.executions).push(Execution { kind, payload, request_id });
     }
     if crashes {
+        state.crashed.store(true, Ordering::Release);
         state.crash.notify_one();
         std::future::pending::<()>().await;
     }
