--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -154,8 +154,7 @@
         match (&placed.destination, &route.target) {
             (Destination::Shards(shards), Target::Shards(set)) => {
                 let gathered =
-                    scatter::run(route, set, shards, request, &time, Duration::ZERO, &self.means)
-                        .await?;
+                    scatter::run(route, set, shards, request, &time, &self.means).await?;
                 if !gathered.missing.is_empty() {
                     log::info!(
                         request = String::from_utf8_lossy(&request.request_id).as_ref(),
--- a/crates/hawthornstand/src/gateway/partial.rs
+++ b/crates/hawthornstand/src/gateway/partial.rs
@@ -7,6 +7,10 @@
 /// Time between an answer leaving here and reaching its caller, and between the caller's first byte
 /// and the request arriving here: two one-way trips, a handshake, and the processor at both ends.
 pub const CALLER_TRIP: Duration = Duration::from_millis(20);
+/// Products such as 0.85 * 20 may come out this much above the whole number.
+const ROUNDING: f64 = 1e-9;
+/// Lateness of timers that still counts as on time.
+const ON_TIME_SLACK: Duration = Duration::from_millis(8);
 /// Part of the goal for which a late search still waits for missing shards.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
@@ -42,8 +46,6 @@
 
 /// Returns the smallest number of shards that is at least a share of all, and at least one.
 pub fn min_shards(share: f64, shards: usize) -> usize {
-    // Products such as 0.85 * 20 may come out a hair above the whole number.
-    const ROUNDING: f64 = 1e-9;
     ((share * shards as f64 - ROUNDING).ceil().max(1.0) as usize).min(shards.max(1))
 }
 
@@ -74,6 +76,3 @@
     }
     Step::WaitUntil(late)
 }
-
-/// Lateness of timers that still counts as on time.
-const ON_TIME_SLACK: Duration = Duration::from_millis(8);
--- a/crates/hawthornstand/src/gateway/pool.rs
+++ b/crates/hawthornstand/src/gateway/pool.rs
@@ -21,7 +21,7 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Part of the backend server's idle timeout after which a connection is no longer used.
 const IDLE_SHARE: f64 = 0.7;
-/// Read buffer of a connection, in bytes; the smallest that hyper takes.
+/// Largest read buffer of a connection, in bytes; the head of an answer has to fit.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why no connection is there; nothing was sent.
--- a/crates/hawthornstand/src/gateway/scatter.rs
+++ b/crates/hawthornstand/src/gateway/scatter.rs
@@ -1,7 +1,6 @@
 //! Answers a search from one backend server of every shard.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -36,19 +35,16 @@
 }
 
 /// Asks every shard and answers as soon as the policy for partial answers says so.
-///
-/// `before` is the time that the caller had already waited when the request came.
 pub async fn run(
     route: &Route,
     set: &ShardSet,
     shards: &[Arc<Service>],
     request: &Arc<Outbound>,
     time: &TimeBudget,
-    before: Duration,
     means: &Means,
 ) -> Result<Gathered, Failure> {
     let terms = Terms {
-        goal: route.goal.saturating_sub(before),
+        goal: route.goal,
         min_shards: partial::min_shards(set.min_share, shards.len()),
         time_limit: time.left(),
     };
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -15,6 +15,8 @@
 
 /// Weight of one answer in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of an attempt that broke off: its time is lost as well.
+const BROKEN_WEIGHT: f64 = 0.2;
 /// Time after which a failure counts half.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Longest silence that passes for a pause; a backend server that is silent for longer is probed.
@@ -121,13 +123,12 @@
         state.silent_since.take().map(|since| now.saturating_duration_since(since))
     }
 
-    /// Notes that an attempt broke off or could not connect; returns whether that is news.
-    pub fn record_broken(&self, now: Instant) -> bool {
+    /// Notes that an attempt broke off.
+    pub fn record_broken(&self, now: Instant) {
         let mut state = lock(&self.state);
         let failure_rate = state.failure_rate(now);
-        state.failure_rate = failure_rate + FAILURE_WEIGHT * 2.0 * (1.0 - failure_rate);
+        state.failure_rate = failure_rate + BROKEN_WEIGHT * (1.0 - failure_rate);
         state.failed_at = Some(now);
-        false
     }
 
     /// Notes that no connection could be opened; returns whether that is news.
