Work leaves replicas that turn requests away; unsent extra attempts go back to the budget

And retries that met the own share of connections were charged to the budget though never sent (seen in the log: 'retried' twice with sent=1). Change: refusals count in the failure rate; Budget::give_back. Tests: gateway_load.rs and limits.rs, the first seen failing.

--- a/crates/hawthornstand/src/budget.rs
+++ b/crates/hawthornstand/src/budget.rs
@@ -60,6 +60,19 @@
         true
     }
 
+    /// Gives back an extra attempt that was not sent after all.
+    pub fn give_back(&self, now: Instant) {
+        let number = self.bucket_number(now);
+        let mut buckets = lock(&self.buckets);
+        let newest = buckets
+            .iter_mut()
+            .filter(|bucket| bucket.extra > 0 && bucket.number + BUCKETS as u64 > number)
+            .max_by_key(|bucket| bucket.number);
+        if let Some(bucket) = newest {
+            bucket.extra -= 1;
+        }
+    }
+
     /// Returns first and extra attempts in the window.
     pub fn usage(&self, now: Instant) -> (u64, u64) {
         totals(&lock(&self.buckets), self.bucket_number(now))
--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -159,6 +159,9 @@
             },
             CallEnd::NotSent(error) => {
                 self.sent -= 1;
+                if self.sent > 0 {
+                    self.service.budget.give_back(Instant::now());
+                }
                 self.connect_failures += 1;
                 if error == ConnectError::ShareInUse {
                     self.asked.retain(|asked| !Arc::ptr_eq(asked, &call.server));
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -118,10 +118,7 @@
     pub fn record_answer(&self, time: Duration, failed: bool, now: Instant) {
         let mut state = lock(&self.state);
         state.estimate.observe(time, now);
-        let failure_rate = state.failure_rate(now);
-        state.failure_rate =
-            failure_rate + FAILURE_WEIGHT * (f64::from(u8::from(failed)) - failure_rate);
-        state.failed_at = Some(now);
+        state.note_failure(f64::from(u8::from(failed)), FAILURE_WEIGHT, now);
     }
 
     /// Notes that the backend server answered something.
@@ -150,10 +147,7 @@
 
     /// Notes that an attempt broke off.
     pub fn record_broken(&self, now: Instant) {
-        let mut state = lock(&self.state);
-        let failure_rate = state.failure_rate(now);
-        state.failure_rate = failure_rate + BROKEN_WEIGHT * (1.0 - failure_rate);
-        state.failed_at = Some(now);
+        lock(&self.state).note_failure(1.0, BROKEN_WEIGHT, now);
     }
 
     /// Notes that no connection could be opened; returns whether that is news.
@@ -178,9 +172,11 @@
         true
     }
 
-    /// Notes that the backend server refused a request for lack of room.
+    /// Notes that the backend server refused a request for lack of room; each refusal costs an attempt.
     pub fn record_full(&self, now: Instant) {
-        lock(&self.state).full_until = Some(now + FULL_BACKOFF);
+        let mut state = lock(&self.state);
+        state.full_until = Some(now + FULL_BACKOFF);
+        state.note_failure(1.0, FAILURE_WEIGHT, now);
     }
 
     /// Begins a probe if one is due.
@@ -232,6 +228,13 @@
 }
 
 impl State {
+    /// Takes an attempt into the failure rate: 1 for a failure, 0 for a success.
+    fn note_failure(&mut self, failure: f64, weight: f64, now: Instant) {
+        let failure_rate = self.failure_rate(now);
+        self.failure_rate = failure_rate + weight * (failure - failure_rate);
+        self.failed_at = Some(now);
+    }
+
     /// Returns the failure rate, which fades while no answers come.
     fn failure_rate(&self, now: Instant) -> f64 {
         let Some(at) = self.failed_at else { return 0.0 };
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_load.rs
@@ -0,0 +1,101 @@
+//! Load patterns of heavy days on what decides where work goes, without a network; named after the pattern.
+
+use std::time::Duration;
+
+use hawthornstand::gateway::choice;
+use hawthornstand::gateway::model::PublishedServer;
+use hawthornstand::gateway::pool::Pool;
+use hawthornstand::gateway::server::{Proximity, Server};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+/// A round trip to another region.
+const DISTANCE: Duration = Duration::from_millis(24);
+/// Time of a request at a backend server.
+const WORK: Duration = Duration::from_millis(20);
+
+fn replica(id: &str, proximity: Proximity) -> Server {
+    let address = ([127, 0, 0, 1], 9).into();
+    let published = PublishedServer {
+        id: id.to_string(),
+        born_unix_ms: 1,
+        service: "shard".to_string(),
+        address,
+        failure_domain: "a".to_string(),
+        slots: 3,
+        leaving: false,
+        warmup_left: Duration::ZERO,
+    };
+    Server::new(published, proximity, Pool::new(address, 8))
+}
+
+/// A shard as one VM meets it: a replica nearby and two in other regions.
+fn shard() -> [Server; 3] {
+    [
+        replica("i-near", Proximity::SameFailureDomain),
+        replica("i-far", Proximity::OtherRegion),
+        replica("i-farther", Proximity::OtherRegion),
+    ]
+}
+
+/// Returns the index of the replica that the next attempt goes to, among those not asked yet.
+fn next(servers: &[Server; 3], asked: &[usize], now: Instant) -> Option<usize> {
+    let candidates: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(index, server)| (!asked.contains(&index)).then(|| server.candidate(now)))
+        .collect();
+    choice::choose(&candidates, 0)
+}
+
+/// Attempts beyond the first that requests need until one is served, at 20 requests a second.
+fn extra_attempts(shed: [f64; 3], requests: u32) -> u32 {
+    let servers = shard();
+    let mut random = StdRng::seed_from_u64(18);
+    let start = Instant::now();
+    let mut extra = 0;
+    for request in 0..requests {
+        let now = start + Duration::from_millis(50) * request;
+        let mut asked = Vec::new();
+        while let Some(index) = next(&servers, &asked, now) {
+            asked.push(index);
+            if random.random_bool(shed[index]) {
+                servers[index].record_full(now);
+                continue;
+            }
+            let far = servers[index].proximity == Proximity::OtherRegion;
+            let time = if far { WORK + DISTANCE } else { WORK };
+            servers[index].record_answer(time, false, now);
+            break;
+        }
+        extra += asked.len() as u32 - 1;
+    }
+    extra
+}
+
+/// A replica that turns a part of its requests away is left while another takes all of them: the retries of
+/// a service may be a fifth of its requests.
+#[test]
+fn shed_across_two_of_three_replicas() {
+    let requests = 9 * 20;
+    let extra = extra_attempts([0.6, 0.6, 0.0], requests);
+    assert!(extra <= requests / 5, "{extra} extra attempts for {requests} requests");
+}
+
+/// A replica nearby that is full for a moment now and then stays the first choice.
+#[test]
+fn full_now_and_then() {
+    let servers = shard();
+    let start = Instant::now();
+    for request in 0..40 {
+        let now = start + Duration::from_millis(50) * request;
+        if request == 20 {
+            servers[0].record_full(now);
+            continue;
+        }
+        servers[0].record_answer(WORK, false, now);
+    }
+    let later = start + Duration::from_millis(50) * 40;
+    assert_eq!(next(&servers, &[], later), Some(0));
+}
--- a/crates/hawthornstand/tests/limits.rs
+++ b/crates/hawthornstand/tests/limits.rs
@@ -276,3 +276,18 @@
     assert!(matches!(office.present(&ticket, 1, &*clock), Ok(Presented::First(..))));
     assert!(matches!(office.present(&ticket, 1, &*clock), Ok(Presented::Joined(_))));
 }
+
+#[test]
+fn extra_attempt_that_was_not_sent_is_given_back() {
+    let now = Instant::now();
+    let settings = BudgetSettings { extra_percent: 20, min_extra_per_window: 2, window_ms: 10_000 };
+    let budget = Budget::new(settings, now);
+    assert!(budget.try_take(now) && budget.try_take(now));
+    let later = now + Duration::from_secs(3);
+    assert!(!budget.try_take(later));
+    budget.give_back(later);
+    assert_eq!(budget.usage(later), (0, 1));
+    assert!(budget.try_take(later) && !budget.try_take(later));
+    budget.give_back(now + Duration::from_secs(60));
+    assert_eq!(budget.usage(later), (0, 2), "what has left the window stays spent");
+}
