A backend server that has shown nothing is expected to be like the others of its service

Change: UsualWork, shared by the servers of a service: an eighth of the shortest goal of its routes until a time was measured, then the moving mean of answers without their round trip. Test: release_of_servers_with_long_requests.

--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 
 use crate::budget::Budget;
 use crate::config_store::lock;
+use crate::gateway::estimate::UsualWork;
 use crate::gateway::listing::{self, Listing};
 use crate::gateway::model::{PublishedServer, PublishedService};
 use crate::gateway::pool::Pool;
@@ -31,6 +32,7 @@
 pub struct Service {
     pub budget: Budget,
     pub name: ServiceName,
+    pub usual: Arc<UsualWork>,
     published: Mutex<PublishedService>,
     servers: Mutex<Arc<Vec<Arc<Server>>>>,
 }
@@ -48,6 +50,7 @@
             name: name.to_string(),
             published: Mutex::new(published),
             servers: Mutex::default(),
+            usual: Arc::default(),
         }
     }
 
@@ -138,7 +141,8 @@
         let share = service.connection_share(self.fleet());
         let proximity = self.settings.place.proximity(&published.failure_domain);
         let pool = Pool::new(published.address, max_open(share, false));
-        self.insert(&service, Arc::new(Server::new(published, proximity, pool)));
+        let usual = Arc::clone(&service.usual);
+        self.insert(&service, Arc::new(Server::new(published, proximity, pool, usual)));
         self.share_connections(&service);
         true
     }
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -1,6 +1,6 @@
 //! One backend server as this VM sees it.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -8,7 +8,7 @@
 use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::gateway::choice::{Candidate, Standing};
-use crate::gateway::estimate::Estimate;
+use crate::gateway::estimate::{Estimate, UsualWork};
 use crate::gateway::listing::Listing;
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::{ConnectError, Connection, Pool};
@@ -38,12 +38,12 @@
 }
 
 impl Proximity {
-    /// Returns the expected time of an answer before any was measured: a short request and a round trip.
-    pub fn prior(self) -> Duration {
+    /// Returns the expected time of a round trip before any was measured.
+    pub fn round_trip(self) -> Duration {
         match self {
-            Self::SameFailureDomain => Duration::from_millis(10),
-            Self::SameRegion => Duration::from_millis(12),
-            Self::OtherRegion => Duration::from_millis(50),
+            Self::SameFailureDomain => Duration::ZERO,
+            Self::SameRegion => Duration::from_millis(2),
+            Self::OtherRegion => Duration::from_millis(40),
         }
     }
 }
@@ -67,6 +67,7 @@
     pub proximity: Proximity,
     pub published: PublishedServer,
     state: Mutex<State>,
+    usual: Arc<UsualWork>,
 }
 
 /// Counts a call against a backend server while it is alive.
@@ -81,7 +82,14 @@
 
 impl Server {
     /// Creates a backend server of which nothing is known but its entry.
-    pub fn new(published: PublishedServer, proximity: Proximity, pool: Pool) -> Self {
+    ///
+    /// `usual` is shared by the backend servers of its service.
+    pub fn new(
+        published: PublishedServer,
+        proximity: Proximity,
+        pool: Pool,
+        usual: Arc<UsualWork>,
+    ) -> Self {
         let listing = if published.leaving { Listing::Leaving } else { Listing::Listed };
         let state = State {
             estimate: Estimate::default(),
@@ -95,7 +103,7 @@
             probes: 0,
             silent_since: None,
         };
-        Self { pool, proximity, published, state: Mutex::new(state) }
+        Self { pool, proximity, published, state: Mutex::new(state), usual }
     }
 
     /// Starts counting a call.
@@ -116,6 +124,9 @@
 
     /// Takes over the time of an answer.
     pub fn record_answer(&self, time: Duration, failed: bool, now: Instant) {
+        if !failed {
+            self.usual.observe(time.saturating_sub(self.proximity.round_trip()));
+        }
         let mut state = lock(&self.state);
         state.estimate.observe(time, now);
         state.note_failure(f64::from(u8::from(failed)), FAILURE_WEIGHT, now);
@@ -202,7 +213,13 @@
 
     /// Returns the time after which an answer is overdue.
     pub fn overdue(&self) -> Duration {
-        lock(&self.state).estimate.overdue(self.proximity.prior())
+        let prior = self.prior();
+        lock(&self.state).estimate.overdue(prior)
+    }
+
+    /// Returns the expected time of an answer as far as this backend server has shown nothing.
+    fn prior(&self) -> Duration {
+        self.usual.get() + self.proximity.round_trip()
     }
 
     /// Describes the backend server for a choice.
@@ -210,13 +227,14 @@
     /// A distant one has to be better by more than the spread of its times, so that chance alone sends no
     /// bytes between regions.
     pub fn candidate(&self, now: Instant) -> Candidate {
+        let prior = self.prior();
         let state = lock(&self.state);
         let handicap = match self.proximity {
-            Proximity::OtherRegion => state.estimate.spread(self.proximity.prior()),
+            Proximity::OtherRegion => state.estimate.spread(prior),
             Proximity::SameFailureDomain | Proximity::SameRegion => Duration::ZERO,
         };
         Candidate {
-            expected: state.estimate.expected(self.proximity.prior(), now),
+            expected: state.estimate.expected(prior, now),
             failure_rate: state.failure_rate(now),
             handicap,
             has_connection: self.pool.has_room(),
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -209,6 +209,13 @@
                 set.services.iter().map(|name| self.directory.service(name)).collect(),
             ),
         };
+        let services = match &destination {
+            Destination::One(shares) => shares.services(),
+            Destination::Shards(shards) => shards.clone(),
+        };
+        for service in services {
+            service.usual.expect_within(route.goal);
+        }
         PlacedRoute { route, destination }
     }
 }
--- a/crates/hawthornstand/tests/gateway_connections.rs
+++ b/crates/hawthornstand/tests/gateway_connections.rs
@@ -1,6 +1,7 @@
 //! Connections to one backend server: what a failure to open one says of it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hawthornstand::gateway::choice::Standing;
@@ -22,7 +23,7 @@
         leaving: false,
         warmup_left: Duration::ZERO,
     };
-    Server::new(published, Proximity::SameRegion, Pool::new(address, max_open))
+    Server::new(published, Proximity::SameRegion, Pool::new(address, max_open), Arc::default())
 }
 
 #[rstest]
--- a/crates/hawthornstand/tests/gateway_load.rs
+++ b/crates/hawthornstand/tests/gateway_load.rs
@@ -1,13 +1,16 @@
 //! Load patterns of heavy days on what decides where work goes, without a network; named after the pattern.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hawthornstand::gateway::choice;
+use hawthornstand::gateway::estimate::UsualWork;
 use hawthornstand::gateway::model::PublishedServer;
 use hawthornstand::gateway::pool::Pool;
 use hawthornstand::gateway::server::{Proximity, Server};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use rstest::rstest;
 use tokio::time::Instant;
 
 /// A round trip to another region.
@@ -15,7 +18,7 @@
 /// Time of a request at a backend server.
 const WORK: Duration = Duration::from_millis(20);
 
-fn replica(id: &str, proximity: Proximity) -> Server {
+fn replica(id: &str, proximity: Proximity, usual: Arc<UsualWork>) -> Server {
     let address = ([127, 0, 0, 1], 9).into();
     let published = PublishedServer {
         id: id.to_string(),
@@ -27,15 +30,16 @@
         leaving: false,
         warmup_left: Duration::ZERO,
     };
-    Server::new(published, proximity, Pool::new(address, 8))
+    Server::new(published, proximity, Pool::new(address, 8), usual)
 }
 
 /// A shard as one VM meets it: a replica nearby and two in other regions.
 fn shard() -> [Server; 3] {
+    let usual = Arc::<UsualWork>::default();
     [
-        replica("i-near", Proximity::SameFailureDomain),
-        replica("i-far", Proximity::OtherRegion),
-        replica("i-farther", Proximity::OtherRegion),
+        replica("i-near", Proximity::SameFailureDomain, Arc::clone(&usual)),
+        replica("i-far", Proximity::OtherRegion, Arc::clone(&usual)),
+        replica("i-farther", Proximity::OtherRegion, usual),
     ]
 }
 
@@ -83,6 +87,28 @@
     assert!(extra <= requests / 5, "{extra} extra attempts for {requests} requests");
 }
 
+/// Backend servers of long requests are replaced one after the other, or a fleet starts: one that has answered
+/// nothing yet is not called silent before its service's usual time is over.
+#[rstest]
+#[case::start_of_a_fleet(None, 100)]
+#[case::release(Some(160), 160)]
+fn release_of_servers_with_long_requests(#[case] measured_ms: Option<u64>, #[case] usual_ms: u64) {
+    let usual = Arc::<UsualWork>::default();
+    usual.expect_within(Duration::from_millis(800));
+    if let Some(work_ms) = measured_ms {
+        let known = replica("i-known", Proximity::SameRegion, Arc::clone(&usual));
+        let time = Duration::from_millis(work_ms) + Proximity::SameRegion.round_trip();
+        known.record_answer(time, false, Instant::now());
+    }
+    let fresh = replica("i-new", Proximity::SameFailureDomain, usual);
+    assert!(
+        fresh.overdue() > Duration::from_millis(usual_ms),
+        "overdue after {:?}",
+        fresh.overdue()
+    );
+    assert_eq!(fresh.candidate(Instant::now()).expected, Duration::from_millis(usual_ms));
+}
+
 /// A replica nearby that is full for a moment now and then stays the first choice.
 #[test]
 fn full_now_and_then() {
