--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -195,6 +195,7 @@
         let server = self.wait_for_server().await?;
         if self.sent > 0 {
             if !self.service.budget.try_take(Instant::now()) {
+                self.means.telemetry.budget_denials.inc();
                 self.log("no retry: the budget is spent", &server.published.id);
                 return None;
             }
@@ -223,6 +224,7 @@
         }
         let Some(server) = self.choose() else { return recheck };
         if !self.service.budget.try_take(now) {
+            self.means.telemetry.budget_denials.inc();
             return recheck;
         }
         self.means.telemetry.hedges.inc();
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -145,6 +145,7 @@
         let fingerprint = fingerprint(host, &outbound);
         let culprits = &self.means.culprits;
         if let Some(left) = culprits.refused_for(fingerprint, Instant::now()) {
+            self.means.telemetry.crash_refusals.inc();
             let failure =
                 Failure::new(ErrorKind::Suspect, "backend servers were lost each time it ran")
                     .with_retry_after_ms(left.as_millis() as u64);
@@ -170,6 +171,7 @@
                 let gathered =
                     scatter::run(route, set, shards, request, &time, &self.means).await?;
                 if !gathered.missing.is_empty() {
+                    self.means.telemetry.partial_answers.inc();
                     log::info!(
                         request = String::from_utf8_lossy(&request.request_id).as_ref(),
                         missing = gathered.missing.join(","),
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of the gateway together and runs them until a planned stop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use crate::gateway::store_watch::{self, ReadDuty, ReadsAlways};
 use crate::gateway::telemetry::Telemetry;
 use crate::http_server::{self, HttpLimits};
+use crate::log_limit::LogLosses;
 use crate::timer::TimerService;
 
 /// Time for which a stopping VM still accepts callers: the balancer asks once a second and believes the
@@ -36,12 +38,13 @@
     settings: GatewaySettings,
     speech: Arc<dyn Speech>,
     store: Arc<dyn PublishedStore>,
+    log_losses: LogLosses,
 ) -> std::io::Result<Ending> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let caller_listener = TcpListener::bind(settings.caller_address).await?;
     let readiness_listener = TcpListener::bind(settings.readiness_address).await?;
-    let telemetry = Arc::new(Telemetry::default());
+    let telemetry = Arc::new(Telemetry::new(log_losses));
     let state = Arc::new(State::new(&settings, Arc::clone(&store), Arc::clone(&telemetry)));
     let culprits = Arc::new(Culprits::default());
     let means =
@@ -61,14 +64,7 @@
     }
     tokio::spawn(store_watch::run(Arc::clone(&state), store, duty, telemetry));
     if let Some(address) = settings.metrics_address {
-        let listener = TcpListener::bind(address).await?;
-        let callers = Arc::clone(&callers);
-        tokio::spawn(http_server::serve(
-            listener,
-            running.clone(),
-            HttpLimits::default,
-            move |request| callers::metrics(Arc::clone(&callers), request),
-        ));
+        serve_metrics(address, Arc::clone(&callers), running.clone()).await;
     }
     tokio::spawn(http_server::serve(readiness_listener, running, HttpLimits::default, {
         let callers = Arc::clone(&callers);
@@ -106,3 +102,18 @@
     log::info!(running = callers.running(), closed = closed; "stopped");
     Ok(if closed && callers.running() == 0 { Ending::Clean } else { Ending::CutOff })
 }
+
+/// Serves metrics and the status; callers are served without them if the address is taken.
+async fn serve_metrics(address: SocketAddr, callers: Arc<Callers>, running: watch::Receiver<bool>) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(address = address.to_string();
+                "no metrics: {error}; choose another port for them");
+            return;
+        }
+    };
+    tokio::spawn(http_server::serve(listener, running, HttpLimits::default, move |request| {
+        callers::metrics(Arc::clone(&callers), request)
+    }));
+}
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the gateway in the text exposition format of Prometheus.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -8,6 +9,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::log_limit::LogLosses;
+
 /// Upper bounds of the buckets of request times, in seconds: around the goals of searches and lookups.
 const REQUEST_BUCKETS_S: [f64; 9] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.8, 2.0, 8.0];
 
@@ -19,8 +22,13 @@
 
 /// Metrics of one process.
 pub struct Telemetry {
+    pub budget_denials: Counter,
+    pub crash_refusals: Counter,
     pub hedges: Counter,
+    log_lines_dropped: Counter,
+    log_losses: LogLosses,
     pub malformed: Counter,
+    pub partial_answers: Counter,
     pub probes: Counter,
     pub requests: Family<Ending, Counter>,
     pub retries: Counter,
@@ -30,17 +38,47 @@
     registry: Registry,
 }
 
-impl Default for Telemetry {
-    fn default() -> Self {
+impl Telemetry {
+    /// Creates metrics that are all zero.
+    pub fn new(log_losses: LogLosses) -> Self {
         let mut registry = Registry::with_prefix("hawthornstand");
+        let budget_denials = Counter::default();
+        let crash_refusals = Counter::default();
         let hedges = Counter::default();
+        let log_lines_dropped = Counter::default();
         let malformed = Counter::default();
+        let partial_answers = Counter::default();
         let probes = Counter::default();
         let requests = Family::default();
         let retries = Counter::default();
         let seconds = Histogram::new(REQUEST_BUCKETS_S);
         let silences = Counter::default();
         let store_reads = Counter::default();
+        registry.register(
+            "budget_denials",
+            "Extra attempts that the budget did not allow",
+            budget_denials.clone(),
+        );
+        registry.register(
+            "crash_refusals",
+            "Requests refused because they crash backend servers",
+            crash_refusals.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines for which the reader was too slow",
+            log_lines_dropped.clone(),
+        );
+        registry.register(
+            "log_lines_left_out",
+            "Log lines that were one too many of their kind",
+            log_losses.left_out.clone(),
+        );
+        registry.register(
+            "partial_answers",
+            "Searches answered without some shards",
+            partial_answers.clone(),
+        );
         registry.register("hedges", "Second attempts sent while the first ran", hedges.clone());
         registry.register(
             "malformed_values",
@@ -58,8 +96,13 @@
         );
         registry.register("store_reads", "Reads of the store", store_reads.clone());
         Self {
+            budget_denials,
+            crash_refusals,
             hedges,
+            log_lines_dropped,
+            log_losses,
             malformed,
+            partial_answers,
             probes,
             requests,
             retries,
@@ -69,9 +112,7 @@
             registry,
         }
     }
-}
 
-impl Telemetry {
     /// Counts a finished request.
     pub fn finish(&self, outcome: &'static str, time: Duration) {
         self.requests.get_or_create(&Ending { outcome }).inc();
@@ -80,6 +121,8 @@
 
     /// Writes all metrics as text.
     pub fn encode(&self) -> String {
+        let dropped = (self.log_losses.dropped)();
+        self.log_lines_dropped.inner().store(dropped, Ordering::Relaxed);
         let mut text = String::new();
         if let Err(error) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
             log::warn!("metrics cannot be written: {error}");
--- a/crates/hawthornstand/src/log_limit.rs
+++ b/crates/hawthornstand/src/log_limit.rs
@@ -1,9 +1,10 @@
 //! Limits log lines for each place in the code that writes them, so that load cannot flood the log.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use log::{Log, Metadata, Record};
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::Instant;
 
 use crate::config_store::lock;
@@ -13,6 +14,22 @@
 /// Length of a window.
 pub const WINDOW: Duration = Duration::from_secs(1);
 
+/// Lines that were not written.
+#[derive(Clone)]
+pub struct LogLosses {
+    /// Returns the lines that a reader was too slow for.
+    pub dropped: Arc<dyn Fn() -> u64 + Send + Sync>,
+    /// Lines that were one too many of their kind.
+    pub left_out: Counter,
+}
+
+impl LogLosses {
+    /// Starts counting; `dropped` tells what the writer itself has dropped.
+    pub fn new(dropped: impl Fn() -> u64 + Send + Sync + 'static) -> Self {
+        Self { dropped: Arc::new(dropped), left_out: Counter::default() }
+    }
+}
+
 /// A place in the code.
 type Place = (&'static str, u32);
 
@@ -27,14 +44,15 @@
 /// Passes lines on to another log until a place has used up its window.
 pub struct LimitedLog<L> {
     inner: L,
+    left_out: Counter,
     /// Sorted by place.
     written: Mutex<Vec<Written>>,
 }
 
 impl<L: Log> LimitedLog<L> {
-    /// Puts a limit before a log.
-    pub fn new(inner: L) -> Self {
-        Self { inner, written: Mutex::default() }
+    /// Puts a limit before a log; `left_out` counts the lines beyond it.
+    pub fn new(inner: L, left_out: Counter) -> Self {
+        Self { inner, left_out, written: Mutex::default() }
     }
 
     /// Counts a line; returns whether it is written and how many were left out in the window before.
@@ -56,6 +74,7 @@
         }
         if known.lines >= LINES_PER_WINDOW {
             known.left_out += 1;
+            self.left_out.inc();
             return (false, left_out);
         }
         known.lines += 1;
--- a/crates/hawthornstand/tests/log_lines.rs
+++ b/crates/hawthornstand/tests/log_lines.rs
@@ -5,6 +5,7 @@
 use hawthornstand::log_limit::{LINES_PER_WINDOW, LimitedLog, WINDOW};
 use hawthornstand::request_story;
 use log::{Log, Metadata, Record};
+use prometheus_client::metrics::counter::Counter;
 
 /// Keeps every line.
 #[derive(Clone, Default)]
@@ -42,7 +43,8 @@
 #[tokio::test(start_paused = true)]
 async fn flood_of_one_kind_leaves_room_for_others_and_says_what_it_left_out() {
     let kept = Kept::default();
-    let log = LimitedLog::new(kept.clone());
+    let left_out = Counter::default();
+    let log = LimitedLog::new(kept.clone(), left_out.clone());
     for _ in 0..LINES_PER_WINDOW + 25 {
         write(&log, 1, "hedged");
     }
@@ -50,6 +52,7 @@
     let lines = kept.take();
     assert_eq!(lines.iter().filter(|line| *line == "hedged").count(), LINES_PER_WINDOW as usize);
     assert_eq!(lines.last().map(String::as_str), Some("store lost"));
+    assert_eq!(left_out.get(), 25);
     tokio::time::advance(WINDOW).await;
     write(&log, 1, "hedged");
     assert_eq!(kept.take(), ["25 lines like the next were left out", "hedged"]);
