--- a/crates/hawthornstand/src/backend.rs
+++ b/crates/hawthornstand/src/backends/backend.rs
@@ -10,9 +10,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 
-use crate::connections::{ConnectError, Sender};
+use crate::backends::connections::{ConnectError, Sender};
+use crate::backends::leaf::Leaf;
 use crate::ids::UnixMs;
-use crate::leaf::Leaf;
 use crate::messages::{LeafAnswer, LeafBooking, LeafHealth, LeafRefusal, LeafSearch};
 
 /// Header that carries the absolute deadline.
--- a/crates/hawthornstand/src/connect_rate.rs
+++ b/crates/hawthornstand/src/backends/connect_rate.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 
 /// Spaces connection attempts evenly once a short burst is used up.
 pub struct ConnectRate {
--- a/crates/hawthornstand/src/connections.rs
+++ b/crates/hawthornstand/src/backends/connections.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Mutex, Semaphore};
 use tokio::time::Instant;
 
-use crate::connect_rate::ConnectRate;
+use crate::backends::connect_rate::ConnectRate;
 
 /// Handle to send requests on one connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -92,7 +92,7 @@
 
     /// Opens a connection and starts its task.
     async fn connect(&self) -> Result<Sender, ConnectError> {
-        let retry_at = *crate::config_store::lock(&self.retry_at);
+        let retry_at = *crate::locks::lock(&self.retry_at);
         if retry_at.is_some_and(|at| Instant::now() < at) {
             return Err(ConnectError::BackingOff);
         }
@@ -111,7 +111,7 @@
         let Ok(Some((sender, connection))) =
             tokio::time::timeout(self.connect_timeout, attempt).await
         else {
-            *crate::config_store::lock(&self.retry_at) = Some(Instant::now() + self.backoff);
+            *crate::locks::lock(&self.retry_at) = Some(Instant::now() + self.backoff);
             return Err(ConnectError::Failed);
         };
         tokio::spawn(async move {
--- a/crates/hawthornstand/src/health_poll.rs
+++ b/crates/hawthornstand/src/backends/health_poll.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::Instant;
 
-use crate::context::Context;
-use crate::leaf::Leaf;
+use crate::backends::leaf::Leaf;
 use crate::messages::{FactBody, LeafHealthState};
+use crate::process::context::Context;
 
 /// Probes that may run at once.
 const MAX_RUNNING_PROBES: usize = 128;
--- a/crates/hawthornstand/src/leaf.rs
+++ b/crates/hawthornstand/src/backends/leaf.rs
@@ -6,14 +6,14 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
-use crate::connections::Connections;
+use crate::backends::connections::Connections;
+use crate::configuration::published::{Phase, PlacedLeaf};
 use crate::derives::value_types;
 use crate::ids::{BlockId, BootId, IndexVersion, LeafId};
-use crate::latency_floor::LatencyFloor;
+use crate::locks::lock;
 use crate::messages::{LeafHealth, LeafHealthState};
-use crate::published::{Phase, PlacedLeaf};
-use crate::slices::SliceSet;
+use crate::policy::latency_floor::LatencyFloor;
+use crate::searches::slices::SliceSet;
 
 /// Weight of a new sample in the moving average of latency, as a divisor.
 const LATENCY_WEIGHT_DIVISOR: u64 = 8;
--- a/crates/hawthornstand/src/leaf_table.rs
+++ b/crates/hawthornstand/src/backends/leaf_table.rs
@@ -7,13 +7,13 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::ConfigStore;
-use crate::connect_rate::ConnectRate;
-use crate::connections::{ConnectionOptions, Connections};
+use crate::backends::connect_rate::ConnectRate;
+use crate::backends::connections::{ConnectionOptions, Connections};
+use crate::backends::leaf::Leaf;
+use crate::backends::reach::divide;
+use crate::configuration::config_store::ConfigStore;
+use crate::configuration::published::{Accepted, Phase, PlacedLeaf};
 use crate::ids::{BootId, LeafId};
-use crate::leaf::Leaf;
-use crate::published::{Accepted, Phase, PlacedLeaf};
-use crate::reach::divide;
 use crate::settings::BackendSettings;
 
 /// Backend servers, sorted by identity, with a generation that rises when routing must be planned anew.
--- /dev/null
+++ b/crates/hawthornstand/src/backends/mod.rs
@@ -0,0 +1,12 @@
+//! Backend servers: what is known of them, connections and calls.
+
+pub mod backend;
+pub mod connect_rate;
+pub mod connections;
+#[cfg(feature = "own-interface")]
+pub mod health_poll;
+pub mod http_client;
+pub mod leaf;
+pub mod leaf_table;
+pub mod reach;
+pub mod reach_table;
--- a/crates/hawthornstand/src/reach.rs
+++ b/crates/hawthornstand/src/backends/reach.rs
@@ -2,10 +2,10 @@
 //!
 //! Everything here is a pure function of published data, so VMs agree without talking.
 
+use crate::configuration::published::Fleet;
 use crate::derives::value_types;
 use crate::ids::{BlockId, VmId, rendezvous_weight};
 use crate::messages::PeerVm;
-use crate::published::Fleet;
 
 value_types! {
     /// How the connections of a backend server are divided among the VMs.
--- a/crates/hawthornstand/src/reach_table.rs
+++ b/crates/hawthornstand/src/backends/reach_table.rs
@@ -2,11 +2,11 @@
 
 use std::sync::{Arc, PoisonError, RwLock};
 
+use crate::backends::reach::{divide, group, in_group};
+use crate::configuration::published::Accepted;
 use crate::derives::value_types;
 use crate::ids::{BlockId, Revision, VmId};
 use crate::messages::{PeerVm, PeerVmList};
-use crate::published::Accepted;
-use crate::reach::{divide, group, in_group};
 
 value_types! {
     /// The VMs that reach one block.
--- a/crates/hawthornstand/src/bin/hawthornstand.rs
+++ b/crates/hawthornstand/src/bin/hawthornstand.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use hawthornstand::cli::{self, CliError, Output};
-use hawthornstand::request_story;
+use hawthornstand::process::cli::{self, CliError, Output};
+use hawthornstand::process::request_story;
 
 #[derive(Debug, Options)]
 struct Arguments {
--- a/crates/hawthornstand/src/bin/hawthornstandd.rs
+++ b/crates/hawthornstand/src/bin/hawthornstandd.rs
@@ -4,8 +4,9 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use hawthornstand::ending::Ending;
-use hawthornstand::{daemon, settings};
+use hawthornstand::process::daemon;
+use hawthornstand::process::ending::Ending;
+use hawthornstand::settings;
 
 /// Allocator; the system one took a fifth of the time of a backend call.
 #[global_allocator]
--- a/crates/hawthornstand/src/booking.rs
+++ b/crates/hawthornstand/src/bookings/booking.rs
@@ -5,18 +5,18 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::booking_run;
-use crate::clock::deadline_instant;
-use crate::context::Context;
+use crate::bookings::booking_run;
+use crate::bookings::ticket::{Ticket, fleet_hash};
+use crate::bookings::ticket_office::{BookingResult, PendingResult, Presented};
 use crate::error::{ErrorKind, Failure};
+use crate::fleet::peers::RequestError;
 use crate::ids::{Fingerprint, UnixMs, fingerprint};
 use crate::messages::{
     BookingReply, BookingRequest, ForwardedBooking, Outcome, PeerRequest, PeerResponse,
     RelayedBooking,
 };
-use crate::peers::RequestError;
-use crate::ticket::{Ticket, fleet_hash};
-use crate::ticket_office::{BookingResult, PendingResult, Presented};
+use crate::process::clock::deadline_instant;
+use crate::process::context::Context;
 
 /// A caller's booking with what came in its headers.
 #[derive(Clone, Debug)]
--- a/crates/hawthornstand/src/booking_run.rs
+++ b/crates/hawthornstand/src/bookings/booking_run.rs
@@ -7,26 +7,26 @@
 use fastrace::collector::SpanContext;
 use tokio::time::Instant;
 
-use crate::backend::{CallContext, CallError};
-use crate::booking::Booking;
-use crate::clock::deadline_instant;
-use crate::context::Context;
+use crate::backends::backend::{CallContext, CallError};
+use crate::backends::leaf::Leaf;
+use crate::bookings::booking::Booking;
+use crate::bookings::ticket_office::BookingResult;
 use crate::error::{ErrorKind, Failure};
-use crate::leaf::Leaf;
-use crate::lone_run;
-use crate::merge::slice_of;
+use crate::fleet::peers::RequestError;
 use crate::messages::{
     BookingAnswer, BookingReply, LeafBooking, LeafRefusalReason, LoneVerdict, Outcome, PeerRequest,
     PeerResponse, RelayedBooking,
 };
-use crate::peers::RequestError;
-use crate::planner::{plan, segments};
-use crate::quarantine::Standing;
-use crate::relay::relays;
-use crate::replica_choice::preferred;
-use crate::slices::SliceSet;
-use crate::ticket_office::BookingResult;
-use crate::trace::traceparent_of;
+use crate::policy::lone_run;
+use crate::policy::quarantine::Standing;
+use crate::policy::replica_choice::preferred;
+use crate::process::clock::deadline_instant;
+use crate::process::context::Context;
+use crate::process::trace::traceparent_of;
+use crate::searches::merge::slice_of;
+use crate::searches::planner::{plan, segments};
+use crate::searches::relay::relays;
+use crate::searches::slices::SliceSet;
 
 /// Runs a booking on one backend server of its shard; it is handed over to at most one.
 ///
@@ -75,7 +75,7 @@
     let was_suspect = match context.quarantine.standing(print, Instant::now()) {
         Standing::Clear => false,
         Standing::Quarantined { retry_after } => {
-            return Err(crate::search::quarantined(retry_after));
+            return Err(crate::searches::search::quarantined(retry_after));
         }
         Standing::Suspect { .. } => true,
     };
@@ -99,7 +99,7 @@
 ) -> BookingResult {
     let state = context.services.get(&booking.service);
     let deadline = deadline_instant(&*context.clock, booking.deadline_unix_ms);
-    let root = crate::trace::child_of("booking.run", &booking.traceparent);
+    let root = crate::process::trace::child_of("booking.run", &booking.traceparent);
     let leaf_booking = LeafBooking {
         key: booking.request.key.clone(),
         payload: booking.request.payload.clone(),
--- a/crates/hawthornstand/src/ticket_office.rs
+++ b/crates/hawthornstand/src/bookings/ticket_office.rs
@@ -7,13 +7,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::clock::Clock;
-use crate::config_store::lock;
+use crate::bookings::ticket::{Ticket, TicketKey};
 use crate::error::{ErrorKind, Failure};
 use crate::ids::{BootId, Fingerprint, UnixMs};
+use crate::locks::lock;
 use crate::messages::{BookingAnswer, Outcome};
+use crate::process::clock::Clock;
 use crate::settings::BookingSettings;
-use crate::ticket::{Ticket, TicketKey};
 
 /// Result of a booking.
 pub type BookingResult = Result<BookingAnswer, Failure>;
--- a/crates/hawthornstand/src/caller_http.rs
+++ b/crates/hawthornstand/src/callers/caller_http.rs
@@ -11,14 +11,14 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::backend::TRACEPARENT_HEADER;
-use crate::booking::{self, Booking};
-use crate::context::Context;
+use crate::backends::backend::TRACEPARENT_HEADER;
+use crate::bookings::booking::{self, Booking};
+use crate::callers::request_headers::{self, RequestHeaders};
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{BookingRequest, SearchRequest};
-use crate::request_headers::{self, RequestHeaders};
-use crate::search::{self, Search};
-use crate::trace::{root_span, traceparent_of};
+use crate::process::context::Context;
+use crate::process::trace::{root_span, traceparent_of};
+use crate::searches::search::{self, Search};
 
 /// Header that tells when to come back, in milliseconds.
 pub const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
--- a/crates/hawthornstand/src/request_headers.rs
+++ b/crates/hawthornstand/src/callers/request_headers.rs
@@ -2,11 +2,11 @@
 
 use hyper::HeaderMap;
 
-use crate::backend::{DEADLINE_HEADER, TRACEPARENT_HEADER};
-use crate::clock::Clock;
+use crate::backends::backend::{DEADLINE_HEADER, TRACEPARENT_HEADER};
 use crate::derives::value_types;
 use crate::error::{ErrorKind, Failure};
 use crate::ids::UnixMs;
+use crate::process::clock::Clock;
 
 /// Header that asks for all slices or an error.
 pub const COVERAGE_HEADER: &str = "coverage";
--- a/crates/hawthornstand/src/config_store.rs
+++ b/crates/hawthornstand/src/configuration/config_store.rs
@@ -1,13 +1,14 @@
 //! The accepted configuration and VM list, which only ever move forward.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::configuration::published::{Accepted, ConfigChanges, ConfigEntry, RawConfig, accept};
 use crate::ids::Revision;
+use crate::locks::lock;
 use crate::messages::{ConfigChange, ConfigDelta, PeerVmList};
-use crate::published::{Accepted, ConfigChanges, ConfigEntry, RawConfig, accept};
 
 /// A configuration that was read and refused.
 #[derive(Clone, Debug)]
@@ -192,8 +193,3 @@
         self.changed.send_replace(revisions);
     }
 }
-
-/// Locks a mutex; a panic elsewhere does not make the state unusable.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hawthornstand/src/config_watch.rs
+++ b/crates/hawthornstand/src/configuration/config_watch.rs
@@ -6,11 +6,11 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::config_store::Offer;
-use crate::context::Context;
+use crate::configuration::config_store::Offer;
+use crate::configuration::platform::{PlatformReader, to_peer_list};
+use crate::configuration::published::{RawConfig, WatchAnswer};
 use crate::ids::rendezvous_weight;
-use crate::platform::{PlatformReader, to_peer_list};
-use crate::published::{RawConfig, WatchAnswer};
+use crate::process::context::Context;
 
 /// Time between two looks at whether this VM watches.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/hawthornstand/src/platform.rs
+++ b/crates/hawthornstand/src/configuration/platform.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use crate::backend::BoxFuture;
-use crate::http_client::{self, HttpError};
+use crate::backends::backend::BoxFuture;
+use crate::backends::http_client::{self, HttpError};
+use crate::configuration::published::{ListedVmKind, ListedVmState, VmList, WatchAnswer};
 use crate::ids::Revision;
 use crate::messages::{PeerVm, PeerVmList};
-use crate::published::{ListedVmKind, ListedVmState, VmList, WatchAnswer};
 
 /// Why a read failed.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
--- a/crates/hawthornstand/src/published.rs
+++ b/crates/hawthornstand/src/configuration/published.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
+use crate::configuration::schema_check::{Finding, PUBLISHED_SCHEMA, parse_checked};
 use crate::derives::value_types;
 pub use crate::generated::published::*;
 use crate::ids::{BlockId, Revision};
-use crate::schema_check::{Finding, PUBLISHED_SCHEMA, parse_checked};
 
 /// Label that tells whether a backend server is entering, serving or leaving.
 pub const PHASE_LABEL: &str = "phase";
--- a/crates/hawthornstand/src/schema_check.rs
+++ b/crates/hawthornstand/src/configuration/schema_check.rs
@@ -6,9 +6,9 @@
 use crate::derives::value_types;
 
 /// Schema of the daemon's settings.
-pub const SETTINGS_SCHEMA: &str = include_str!("../../../schema/settings.json");
+pub const SETTINGS_SCHEMA: &str = include_str!("../../../../schema/settings.json");
 /// Schema of the documents that operators publish.
-pub const PUBLISHED_SCHEMA: &str = include_str!("../../../schema/published.json");
+pub const PUBLISHED_SCHEMA: &str = include_str!("../../../../schema/published.json");
 
 value_types! {
     /// One finding in a checked document.
--- a/crates/hawthornstand/src/block_versions.rs
+++ b/crates/hawthornstand/src/fleet/block_versions.rs
@@ -3,13 +3,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::config_store::lock;
-use crate::context::Context;
+use crate::backends::reach_table::BlockReach;
+use crate::configuration::published::Accepted;
 use crate::ids::{BlockId, BootId, IndexVersion};
+use crate::locks::lock;
 use crate::messages::{Fact, FactBody, Frame};
-use crate::planner::complete_versions;
-use crate::published::Accepted;
-use crate::reach_table::BlockReach;
+use crate::process::context::Context;
+use crate::searches::planner::complete_versions;
 
 /// Time between two looks at the blocks this VM reports.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/hawthornstand/src/gossip.rs
+++ b/crates/hawthornstand/src/fleet/gossip.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::Instant;
 
-use crate::context::Context;
+use crate::fleet::peers::Link;
 use crate::messages::{Fact, FactBody, Frame, Heartbeat, Published};
-use crate::peers::Link;
+use crate::process::context::Context;
 
 /// Announces changes and sends heartbeats until the process ends.
 pub async fn run(context: Arc<Context>) {
@@ -96,9 +96,9 @@
     let Some(delta) = published.config else { return };
     let offer = context.config.apply_delta(&delta);
     context.metrics.count(match offer {
-        crate::config_store::Offer::Accepted => "gossip.config_accepted",
-        crate::config_store::Offer::Rejected => "gossip.config_rejected",
-        crate::config_store::Offer::Stale => "gossip.config_stale",
+        crate::configuration::config_store::Offer::Accepted => "gossip.config_accepted",
+        crate::configuration::config_store::Offer::Rejected => "gossip.config_rejected",
+        crate::configuration::config_store::Offer::Stale => "gossip.config_stale",
     });
 }
 
--- a/crates/hawthornstand/src/link.rs
+++ b/crates/hawthornstand/src/fleet/link.rs
@@ -13,13 +13,13 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
-use crate::config_store::lock;
-use crate::connections::connect_from;
-use crate::context::{Context, own_ip};
-use crate::gossip;
+use crate::backends::connections::connect_from;
+use crate::fleet::gossip;
+use crate::fleet::peer_service;
+use crate::fleet::peers::Link;
+use crate::locks::lock;
 use crate::messages::{Frame, Hello};
-use crate::peer_service;
-use crate::peers::Link;
+use crate::process::context::{Context, own_ip};
 
 /// Version of the protocol between VMs.
 pub const PROTOCOL_VERSION: u64 = 1;
--- a/crates/hawthornstand/src/overlay.rs
+++ b/crates/hawthornstand/src/fleet/overlay.rs
@@ -5,10 +5,10 @@
 
 use rand::Rng;
 
-use crate::context::Context;
+use crate::fleet::link;
 use crate::ids::VmId;
-use crate::link;
 use crate::messages::PeerVm;
+use crate::process::context::Context;
 
 /// Time between two looks at the links.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/hawthornstand/src/peer_service.rs
+++ b/crates/hawthornstand/src/fleet/peer_service.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::context::Context;
+use crate::bookings::booking;
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{PeerRequest, PeerResponse};
-use crate::{block_search, booking, lone_run};
+use crate::policy::lone_run;
+use crate::process::context::Context;
+use crate::searches::block_search;
 
 /// Serves one request.
 pub async fn serve(context: &Arc<Context>, request: PeerRequest) -> PeerResponse {
--- a/crates/hawthornstand/src/peers.rs
+++ b/crates/hawthornstand/src/fleet/peers.rs
@@ -7,11 +7,11 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::config_store::lock;
-use crate::context::Context;
+use crate::fleet::link;
 use crate::ids::VmId;
-use crate::link;
+use crate::locks::lock;
 use crate::messages::{Fact, FactBody, Frame, Heartbeat, Hello, PeerRequest, PeerResponse};
+use crate::process::context::Context;
 
 /// Time for which a VM that could not be reached is not tried again for requests.
 const UNREACHABLE_PENALTY: Duration = Duration::from_secs(3);
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -12,7 +12,6 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::clock::Clock;
 use crate::error::{ErrorKind, Failure};
 use crate::gateway::attempts::Means;
 use crate::gateway::call::{Answer, Outbound};
@@ -24,9 +23,10 @@
 use crate::gateway::time_budget::TimeBudget;
 use crate::gateway::trail::Trail;
 use crate::gateway::{forward, scatter, status};
-use crate::http_server::HttpLimits;
 use crate::ids::Fingerprint;
 use crate::messages::Outcome;
+use crate::process::clock::Clock;
+use crate::process::http_server::HttpLimits;
 
 /// Headers that belong to one connection only (RFC 9110, section 7.6.1), and the length, which hyper sets.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
--- a/crates/hawthornstand/src/gateway/culprits.rs
+++ b/crates/hawthornstand/src/gateway/culprits.rs
@@ -8,9 +8,9 @@
 use tokio::sync::broadcast;
 use tokio::time::Instant;
 
-use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::ids::Fingerprint;
+use crate::locks::lock;
 
 /// Crashes of different processes after which a request is refused: the rule speaks of the third.
 const MAX_CRASHES: usize = 3;
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -9,8 +9,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::clock::SystemClock;
-use crate::ending::Ending;
 use crate::gateway::attempts::Means;
 use crate::gateway::callers::{self, Callers};
 use crate::gateway::culprits::Culprits;
@@ -21,9 +19,11 @@
 use crate::gateway::state::State;
 use crate::gateway::store_watch::{self, ReadDuty, ReadsAlways};
 use crate::gateway::telemetry::Telemetry;
-use crate::http_server::{self, HttpLimits};
-use crate::log_limit::LogLosses;
-use crate::timer::TimerService;
+use crate::process::clock::SystemClock;
+use crate::process::ending::Ending;
+use crate::process::http_server::{self, HttpLimits};
+use crate::process::log_limit::LogLosses;
+use crate::process::timer::TimerService;
 
 /// Time for which a stopping VM still accepts callers: the balancer asks once a second and believes the
 /// second failed answer.
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -5,8 +5,6 @@
 
 use tokio::time::Instant;
 
-use crate::budget::Budget;
-use crate::config_store::lock;
 use crate::gateway::estimate::UsualWork;
 use crate::gateway::listing::{self, Listing};
 use crate::gateway::model::{PublishedServer, PublishedService};
@@ -14,6 +12,8 @@
 use crate::gateway::server::{Proximity, Server};
 use crate::gateway::settings::{GatewaySettings, Place};
 use crate::ids::{LeafId, ServiceName};
+use crate::locks::lock;
+use crate::policy::budget::Budget;
 
 /// Part of a backend server's connection limit that the fleet uses: a fleet that lost power leaves as
 /// many connections behind, which count until the backend server notices.
--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 
 /// Weight of a new sample in the mean (alpha of RFC 6298).
 const MEAN_WEIGHT: f64 = 1.0 / 8.0;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -13,7 +13,6 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::gateway::culprits::{Crashes, Culprits};
 use crate::gateway::items::Update;
@@ -21,6 +20,7 @@
 use crate::gateway::state::State;
 use crate::gateway::store_watch::ReadDuty;
 use crate::ids::Revision;
+use crate::locks::lock;
 
 /// Links that each VM opens.
 const LINKS: usize = 3;
--- a/crates/hawthornstand/src/gateway/pool.rs
+++ b/crates/hawthornstand/src/gateway/pool.rs
@@ -13,7 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 
 /// Time allowed for a new connection, as callers allow it.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/hawthornstand/src/gateway/probes.rs
+++ b/crates/hawthornstand/src/gateway/probes.rs
@@ -14,7 +14,7 @@
 use crate::gateway::routes::Destination;
 use crate::gateway::server::{Proximity, Server};
 use crate::gateway::state::State;
-use crate::timer::TimerService;
+use crate::process::timer::TimerService;
 
 /// Time between two rounds of upkeep.
 const ROUND: Duration = Duration::from_millis(200);
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -5,13 +5,13 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::gateway::choice::{Candidate, Standing};
 use crate::gateway::estimate::{Estimate, UsualWork};
 use crate::gateway::listing::Listing;
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::{ConnectError, Connection, Pool};
+use crate::locks::lock;
 
 /// Weight of one answer in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.1;
--- a/crates/hawthornstand/src/gateway/shares.rs
+++ b/crates/hawthornstand/src/gateway/shares.rs
@@ -2,8 +2,8 @@
 
 use std::sync::{Arc, Mutex};
 
-use crate::config_store::lock;
 use crate::gateway::directory::Service;
+use crate::locks::lock;
 
 /// One service with its weight and its place in the rotation.
 struct Share {
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -6,7 +6,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::config_store::lock;
 use crate::gateway::directory::Directory;
 use crate::gateway::items::{Items, Update};
 use crate::gateway::listing::RETURN_OF_ENTRIES;
@@ -17,6 +16,7 @@
 use crate::gateway::speech::{PublishedKey, PublishedStore, PublishedValue};
 use crate::gateway::telemetry::Telemetry;
 use crate::ids::Revision;
+use crate::locks::lock;
 
 /// The configuration in force.
 pub struct InForce {
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::log_limit::LogLosses;
+use crate::process::log_limit::LogLosses;
 
 /// Upper bounds of the buckets of request times, in seconds: around the goals of searches and lookups.
 const REQUEST_BUCKETS_S: [f64; 9] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.8, 2.0, 8.0];
--- a/crates/hawthornstand/src/gateway/time_budget.rs
+++ b/crates/hawthornstand/src/gateway/time_budget.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::clock::Clock;
+use crate::process::clock::Clock;
 
 /// Time given to a request when it came.
 #[derive(Clone)]
--- a/crates/hawthornstand/src/gateway/trail.rs
+++ b/crates/hawthornstand/src/gateway/trail.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use crate::config_store::lock;
 use crate::gateway::culprits::{Crashes, Culprits, ProcessHash};
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::ConnectError;
 use crate::gateway::server::Server;
 use crate::ids::Fingerprint;
+use crate::locks::lock;
 
 /// Notes of all attempts of a request, at all shards.
 #[derive(Default)]
--- a/crates/hawthornstand/src/admission.rs
+++ b/crates/hawthornstand/src/policy/admission.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::configuration::published::ServicePriority;
 use crate::error::{ErrorKind, Failure};
-use crate::published::ServicePriority;
+use crate::locks::lock;
 use crate::settings::AdmissionSettings;
 
 /// Factor by which the limit shrinks.
--- a/crates/hawthornstand/src/budget.rs
+++ b/crates/hawthornstand/src/policy/budget.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 use crate::settings::BudgetSettings;
 
 /// Parts into which the window is divided.
--- a/crates/hawthornstand/src/ejection.rs
+++ b/crates/hawthornstand/src/policy/ejection.rs
@@ -5,10 +5,10 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
-use crate::context::Context;
-use crate::leaf::Leaf;
-use crate::published::PlacedService;
+use crate::backends::leaf::Leaf;
+use crate::configuration::published::PlacedService;
+use crate::locks::lock;
+use crate::process::context::Context;
 use crate::settings::EjectionSettings;
 
 /// Time between two evaluations.
--- a/crates/hawthornstand/src/hedge.rs
+++ b/crates/hawthornstand/src/policy/hedge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::latency_window::LatencyWindow;
+use crate::policy::latency_window::LatencyWindow;
 use crate::settings::{HedgeSettings, HedgeSettingsPolicy};
 
 /// Decides the delay before a hedge.
--- a/crates/hawthornstand/src/latency_window.rs
+++ b/crates/hawthornstand/src/policy/latency_window.rs
@@ -6,7 +6,7 @@
 
 use hdrhistogram::Histogram;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 
 /// Largest recorded latency, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
--- a/crates/hawthornstand/src/lone_run.rs
+++ b/crates/hawthornstand/src/policy/lone_run.rs
@@ -6,15 +6,15 @@
 
 use tokio::time::Instant;
 
-use crate::backend::{CallContext, CallError};
-use crate::context::Context;
-use crate::health_poll;
+use crate::backends::backend::{CallContext, CallError};
+use crate::backends::health_poll;
+use crate::backends::leaf::Leaf;
 use crate::ids::{Fingerprint, VmId, fingerprint};
-use crate::leaf::Leaf;
 use crate::messages::{FactBody, LeafSearch, LoneRun, LoneVerdict, PeerRequest, PeerResponse};
-use crate::planner::{Plan, Segment, plan};
-use crate::quarantine::Standing;
-use crate::relay::relays;
+use crate::policy::quarantine::Standing;
+use crate::process::context::Context;
+use crate::searches::planner::{Plan, Segment, plan};
+use crate::searches::relay::relays;
 
 /// Clears a suspect through the VM that owns it.
 pub async fn clear_through(
@@ -191,7 +191,8 @@
 
 /// Serves another VM's request for a verdict.
 pub async fn serve(context: &Arc<Context>, request: LoneRun) -> PeerResponse {
-    let deadline = crate::clock::deadline_instant(&*context.clock, request.deadline_unix_ms);
+    let deadline =
+        crate::process::clock::deadline_instant(&*context.clock, request.deadline_unix_ms);
     if !request.direct {
         // The fact that made it suspect may be slower than this request.
         let ttl = Duration::from_millis(context.settings.quarantine.suspect_ms);
--- /dev/null
+++ b/crates/hawthornstand/src/policy/mod.rs
@@ -0,0 +1,14 @@
+//! What decides under load and failure: limits, choice, hedges, ejection, requests that crash backend servers.
+
+pub mod admission;
+pub mod budget;
+#[cfg(feature = "own-interface")]
+pub mod ejection;
+pub mod hedge;
+pub mod latency_floor;
+pub mod latency_window;
+#[cfg(feature = "own-interface")]
+pub mod lone_run;
+pub mod quarantine;
+pub mod replica_choice;
+pub mod service_state;
--- a/crates/hawthornstand/src/quarantine.rs
+++ b/crates/hawthornstand/src/policy/quarantine.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::Instant;
 
-use crate::config_store::lock;
 use crate::derives::value_types;
 use crate::ids::{Fingerprint, VmId, fingerprint};
+use crate::locks::lock;
 use crate::messages::FactBody;
 
 /// Most requests remembered at once; the oldest go first.
--- a/crates/hawthornstand/src/replica_choice.rs
+++ b/crates/hawthornstand/src/policy/replica_choice.rs
@@ -7,8 +7,8 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use crate::leaf::Leaf;
-use crate::published::Phase;
+use crate::backends::leaf::Leaf;
+use crate::configuration::published::Phase;
 use crate::settings::{EjectionSettings, RoutingSettings, RoutingSettingsPolicy};
 
 /// Latency assumed of a backend server that has not answered yet, in microseconds.
--- a/crates/hawthornstand/src/service_state.rs
+++ b/crates/hawthornstand/src/policy/service_state.rs
@@ -5,10 +5,10 @@
 
 use tokio::time::Instant;
 
-use crate::admission::Admission;
-use crate::budget::Budget;
 use crate::ids::ServiceName;
-use crate::latency_window::LatencyWindow;
+use crate::policy::admission::Admission;
+use crate::policy::budget::Budget;
+use crate::policy::latency_window::LatencyWindow;
 use crate::settings::{AdmissionSettings, BudgetSettings};
 
 /// Slowdown of one call above which it counts no further, so that one straggler decides nothing.
--- a/crates/hawthornstand/src/admin_http.rs
+++ b/crates/hawthornstand/src/process/admin_http.rs
@@ -7,10 +7,10 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 
-use crate::caller_http::json;
-use crate::context::Context;
+use crate::callers::caller_http::json;
 use crate::error::{ErrorKind, Failure};
-use crate::status::{explain, status};
+use crate::process::context::Context;
+use crate::process::status::{explain, status};
 
 /// Answers one request of the operators' tool.
 pub async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/hawthornstand/src/cli.rs
+++ b/crates/hawthornstand/src/process/cli.rs
@@ -10,13 +10,13 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use crate::http_client::{self, HttpError};
+use crate::backends::http_client::{self, HttpError};
+use crate::callers::request_headers::{COVERAGE_HEADER, TICKET_HEADER, TIMEOUT_HEADER};
+use crate::configuration::published::{ConfigEntry, RawConfig, accept};
+use crate::configuration::schema_check::Finding;
 use crate::messages::{BookingAnswer, Outcome, Refusal, SearchAnswer, SliceRange};
-use crate::published::{ConfigEntry, RawConfig, accept};
-use crate::request_headers::{COVERAGE_HEADER, TICKET_HEADER, TIMEOUT_HEADER};
-use crate::schema_check::Finding;
+use crate::process::status::{Explanation, Status};
 use crate::settings;
-use crate::status::{Explanation, Status};
 
 /// Exit code for a request that was refused and did not run.
 pub const EXIT_NOT_RUN: u8 = 4;
--- a/crates/hawthornstand/src/context.rs
+++ b/crates/hawthornstand/src/process/context.rs
@@ -7,26 +7,26 @@
 
 use tokio::time::Instant;
 
-use crate::backend::{BackendClient, HttpBackend};
-use crate::block_versions::BlockVersions;
-use crate::clock::{Clock, SystemClock};
-use crate::config_store::ConfigStore;
-use crate::hedge::{self, HedgePolicy};
+use crate::backends::backend::{BackendClient, HttpBackend};
+use crate::backends::leaf::Leaf;
+use crate::backends::leaf_table::LeafTable;
+use crate::backends::reach_table::{ReachCache, ReachTable};
+use crate::bookings::ticket_office::TicketOffice;
+use crate::configuration::config_store::ConfigStore;
+use crate::configuration::published::Accepted;
+use crate::fleet::block_versions::BlockVersions;
+use crate::fleet::peers::Peers;
 use crate::ids::{BlockId, BootId, IndexVersion, VmId, fingerprint, rendezvous_weight};
-use crate::leaf::Leaf;
-use crate::leaf_table::LeafTable;
 use crate::messages::{FactBody, LeafRefusalReason};
-use crate::metrics::Metrics;
-use crate::peers::Peers;
-use crate::planner::PlanCache;
-use crate::published::Accepted;
-use crate::quarantine::Quarantine;
-use crate::reach_table::{ReachCache, ReachTable};
-use crate::replica_choice::{self, ReplicaChoice};
-use crate::service_state::ServiceStates;
+use crate::policy::hedge::{self, HedgePolicy};
+use crate::policy::quarantine::Quarantine;
+use crate::policy::replica_choice::{self, ReplicaChoice};
+use crate::policy::service_state::ServiceStates;
+use crate::process::clock::{Clock, SystemClock};
+use crate::process::metrics::Metrics;
+use crate::process::timer::TimerService;
+use crate::searches::planner::PlanCache;
 use crate::settings::DaemonSettings;
-use crate::ticket_office::TicketOffice;
-use crate::timer::TimerService;
 
 /// Who this process is.
 #[derive(Clone, Debug)]
--- a/crates/hawthornstand/src/daemon.rs
+++ b/crates/hawthornstand/src/process/daemon.rs
@@ -8,15 +8,23 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::context::Context;
-use crate::ending::Ending;
-use crate::http_server::HttpLimits;
-use crate::platform::HttpPlatform;
+use crate::backends::health_poll;
+use crate::callers::caller_http;
+use crate::configuration::config_watch;
+use crate::configuration::platform::HttpPlatform;
+use crate::fleet::block_versions;
+use crate::fleet::gossip;
+use crate::fleet::link;
+use crate::fleet::overlay;
+use crate::policy::ejection;
+use crate::process::admin_http;
+use crate::process::context::Context;
+use crate::process::ending::Ending;
+use crate::process::http_server;
+use crate::process::http_server::HttpLimits;
+use crate::process::startup;
+use crate::process::trace;
 use crate::settings::DaemonSettings;
-use crate::{
-    admin_http, block_versions, caller_http, config_watch, ejection, gossip, health_poll,
-    http_server, link, overlay, startup, trace,
-};
 
 /// Runs the daemon until SIGTERM or SIGINT.
 pub async fn run(settings: DaemonSettings) -> std::io::Result<Ending> {
--- a/crates/hawthornstand/src/log_limit.rs
+++ b/crates/hawthornstand/src/process/log_limit.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::time::Instant;
 
-use crate::config_store::lock;
+use crate::locks::lock;
 
 /// Lines of one place in the code that are written within one window.
 pub const LINES_PER_WINDOW: u32 = 40;
--- a/crates/hawthornstand/src/metrics.rs
+++ b/crates/hawthornstand/src/process/metrics.rs
@@ -10,7 +10,7 @@
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
-use crate::config_store::lock;
+use crate::locks::lock;
 use crate::settings::MetricsSettings;
 
 /// Significant digits of timers.
--- /dev/null
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -0,0 +1,24 @@
+//! The process: its start and end, clocks, timers, logs, metrics, and what operators see.
+
+#[cfg(feature = "own-interface")]
+pub mod admin_http;
+#[cfg(feature = "own-interface")]
+pub mod cli;
+pub mod clock;
+#[cfg(feature = "own-interface")]
+pub mod context;
+#[cfg(feature = "own-interface")]
+pub mod daemon;
+pub mod ending;
+pub mod http_server;
+pub mod log_limit;
+pub mod metrics;
+#[cfg(feature = "own-interface")]
+pub mod request_story;
+#[cfg(feature = "own-interface")]
+pub mod startup;
+#[cfg(feature = "own-interface")]
+pub mod status;
+pub mod timer;
+#[cfg(feature = "own-interface")]
+pub mod trace;
--- a/crates/hawthornstand/src/request_story.rs
+++ b/crates/hawthornstand/src/process/request_story.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use crate::cli::CliError;
+use crate::process::cli::CliError;
 
 /// Returns the lines about a request, in the order of their timestamps, each with the file it stands in.
 pub fn tell(request_id: &str, files: &[PathBuf]) -> Result<String, CliError> {
--- a/crates/hawthornstand/src/startup.rs
+++ b/crates/hawthornstand/src/process/startup.rs
@@ -5,10 +5,10 @@
 
 use tokio::time::Instant;
 
-use crate::context::Context;
+use crate::fleet::overlay::neighbours;
 use crate::messages::PeerVm;
-use crate::overlay::neighbours;
-use crate::planner::plan;
+use crate::process::context::Context;
+use crate::searches::planner::plan;
 
 /// Time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/hawthornstand/src/status.rs
+++ b/crates/hawthornstand/src/process/status.rs
@@ -5,12 +5,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::context::Context;
+use crate::configuration::published::{PlacedService, phase_of};
 use crate::derives::value_types;
 use crate::ids::{IndexVersion, LeafId, Revision, ServiceName, VmId};
 use crate::messages::{FactBody, SliceRange};
-use crate::planner::plan;
-use crate::published::{PlacedService, phase_of};
+use crate::process::context::Context;
+use crate::searches::planner::plan;
 
 value_types! {
     /// State of a VM.
--- a/crates/hawthornstand/src/block_search.rs
+++ b/crates/hawthornstand/src/searches/block_search.rs
@@ -5,16 +5,16 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::clock::deadline_instant;
-use crate::context::Context;
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{
     BlockAnswer, BlockSearch, LeafAnswer, MissingReason, MissingSlices, Outcome, PeerResponse,
     Refusal,
 };
-use crate::planner::{Segment, plan};
-use crate::segment_search::{SearchScope, SegmentResult, search_segment};
-use crate::slices::SliceSet;
+use crate::process::clock::deadline_instant;
+use crate::process::context::Context;
+use crate::searches::planner::{Segment, plan};
+use crate::searches::segment_search::{SearchScope, SegmentResult, search_segment};
+use crate::searches::slices::SliceSet;
 
 /// Collected results of several segments.
 #[derive(Debug, Default)]
@@ -75,7 +75,7 @@
     };
     let state = context.services.get(&request.service);
     let request_id = context.next_request_id();
-    let span = crate::trace::child_of("relay.block", &request.traceparent);
+    let span = crate::process::trace::child_of("relay.block", &request.traceparent);
     let scope = SearchScope {
         context,
         deadline: deadline_instant(&*context.clock, request.deadline_unix_ms),
--- a/crates/hawthornstand/src/merge.rs
+++ b/crates/hawthornstand/src/searches/merge.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{IndexVersion, Slice};
 use crate::messages::{Coverage, Hit, LeafAnswer, MissingReason, MissingSlices, SearchAnswer};
-use crate::slices::SliceSet;
+use crate::searches::slices::SliceSet;
 
 /// Collects answers; each slice is counted once, whoever answers for it first.
 pub struct Merger {
--- /dev/null
+++ b/crates/hawthornstand/src/searches/mod.rs
@@ -0,0 +1,14 @@
+//! One search: its version, blocks and segments, and the answer made of them.
+
+#[cfg(feature = "own-interface")]
+pub mod block_search;
+pub mod merge;
+#[cfg(feature = "own-interface")]
+pub mod planner;
+#[cfg(feature = "own-interface")]
+pub mod relay;
+#[cfg(feature = "own-interface")]
+pub mod search;
+#[cfg(feature = "own-interface")]
+pub mod segment_search;
+pub mod slices;
--- a/crates/hawthornstand/src/planner.rs
+++ b/crates/hawthornstand/src/searches/planner.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{Arc, PoisonError, RwLock};
 
-use crate::context::Context;
+use crate::backends::leaf::Leaf;
+use crate::configuration::published::{Accepted, PlacedService, Service};
 use crate::derives::value_types;
 use crate::ids::{BlockId, IndexVersion, Revision, ServiceName, Slice};
-use crate::leaf::Leaf;
-use crate::published::{Accepted, PlacedService, Service};
-use crate::slices::SliceSet;
+use crate::process::context::Context;
+use crate::searches::slices::SliceSet;
 
 /// A part of the key space with the replicas that claim to hold all of it.
 #[derive(Clone)]
--- a/crates/hawthornstand/src/relay.rs
+++ b/crates/hawthornstand/src/searches/relay.rs
@@ -5,14 +5,14 @@
 use fastrace::collector::SpanContext;
 use tokio::time::Instant;
 
-use crate::block_search::BlockResult;
-use crate::context::Context;
 use crate::ids::{BlockId, VmId};
 use crate::messages::{BlockSearch, MissingReason, PeerRequest, PeerResponse};
-use crate::planner::BlockPlan;
-use crate::segment_search::SearchScope;
-use crate::slices::SliceSet;
-use crate::trace::traceparent_of;
+use crate::process::context::Context;
+use crate::process::trace::traceparent_of;
+use crate::searches::block_search::BlockResult;
+use crate::searches::planner::BlockPlan;
+use crate::searches::segment_search::SearchScope;
+use crate::searches::slices::SliceSet;
 
 /// Relays tried for one block.
 const MAX_RELAYS: usize = 2;
--- a/crates/hawthornstand/src/search.rs
+++ b/crates/hawthornstand/src/searches/search.rs
@@ -8,19 +8,19 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
 
-use crate::block_search::{BlockResult, search_segments};
-use crate::clock::deadline_instant;
-use crate::context::Context;
+use crate::configuration::published::{Accepted, PlacedService};
 use crate::error::{ErrorKind, Failure};
 use crate::ids::{UnixMs, fingerprint};
-use crate::lone_run;
-use crate::merge::Merger;
 use crate::messages::{LoneVerdict, MissingReason, SearchAnswer, SearchRequest};
-use crate::planner::{Plan, plan, segments};
-use crate::published::{Accepted, PlacedService};
-use crate::quarantine::Standing;
-use crate::relay::search_block;
-use crate::segment_search::SearchScope;
+use crate::policy::lone_run;
+use crate::policy::quarantine::Standing;
+use crate::process::clock::deadline_instant;
+use crate::process::context::Context;
+use crate::searches::block_search::{BlockResult, search_segments};
+use crate::searches::merge::Merger;
+use crate::searches::planner::{Plan, plan, segments};
+use crate::searches::relay::search_block;
+use crate::searches::segment_search::SearchScope;
 
 /// Times a search starts again on another version.
 const MAX_RESTARTS: usize = 3;
--- a/crates/hawthornstand/src/segment_search.rs
+++ b/crates/hawthornstand/src/searches/segment_search.rs
@@ -10,16 +10,16 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
 
-use crate::backend::{CallContext, CallError};
-use crate::context::Context;
+use crate::backends::backend::{CallContext, CallError};
+use crate::backends::leaf::Leaf;
 use crate::ids::IndexVersion;
-use crate::leaf::Leaf;
 use crate::messages::{LeafAnswer, LeafRefusalReason, LeafSearch, MissingReason};
-use crate::planner::Segment;
-use crate::replica_choice::preferred;
-use crate::service_state::ServiceState;
-use crate::slices::SliceSet;
-use crate::trace::traceparent_of;
+use crate::policy::replica_choice::preferred;
+use crate::policy::service_state::ServiceState;
+use crate::process::context::Context;
+use crate::process::trace::traceparent_of;
+use crate::searches::planner::Segment;
+use crate::searches::slices::SliceSet;
 
 /// Most attempts at one segment, hedges included.
 const MAX_ATTEMPTS: usize = 4;
@@ -328,7 +328,7 @@
     let interval = Duration::from_millis(scope.context.settings.ejection.probe_interval_ms);
     let now = Instant::now();
     {
-        let mut ejection = crate::config_store::lock(&leaf.ejection);
+        let mut ejection = crate::locks::lock(&leaf.ejection);
         if ejection.last_probe.is_some_and(|last| now.saturating_duration_since(last) < interval) {
             return;
         }
@@ -354,7 +354,7 @@
             CallContext { deadline_unix_ms, remaining, request_id: &request_id, traceparent: "" };
         let started = Instant::now();
         let answered = context.backend.search(&leaf, &search, call_context).await.is_ok();
-        crate::ejection::record_probe(&context, &leaf, answered.then(|| started.elapsed()));
+        crate::policy::ejection::record_probe(&context, &leaf, answered.then(|| started.elapsed()));
     });
 }
 
--- a/crates/hawthornstand/src/settings.rs
+++ b/crates/hawthornstand/src/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use crate::configuration::schema_check::{Finding, SETTINGS_SCHEMA, line_of, parse_checked};
 pub use crate::generated::settings::*;
-use crate::schema_check::{Finding, SETTINGS_SCHEMA, line_of, parse_checked};
 
 /// Reads and checks a settings file.
 pub fn load(path: &Path) -> Result<DaemonSettings, Vec<Finding>> {
--- a/crates/hawthornstand/tests/contract_backend.rs
+++ b/crates/hawthornstand/tests/contract_backend.rs
@@ -4,13 +4,13 @@
 
 use std::time::Duration;
 
-use hawthornstand::backend::CallError;
-use hawthornstand::connections::ConnectError;
-use hawthornstand::leaf::Leaf;
+use hawthornstand::backends::backend::CallError;
+use hawthornstand::backends::connections::ConnectError;
+use hawthornstand::backends::leaf::Leaf;
 use hawthornstand::messages::{
     LeafAnswer, LeafRefusal, LeafRefusalReason, LeafSearch, SearchAnswer,
 };
-use hawthornstand::search;
+use hawthornstand::searches::search;
 use rstest::rstest;
 use support::{answer, answer_for, context, range, search_of};
 
@@ -181,8 +181,10 @@
     refused("saturated backend servers", "q").await;
     refused("quarantined", "poison").await;
     let state = context.services.get("roster");
-    let _permit =
-        state.admission.enter(hawthornstand::published::ServicePriority::Interactive, started).ok();
+    let _permit = state
+        .admission
+        .enter(hawthornstand::configuration::published::ServicePriority::Interactive, started)
+        .ok();
     refused("limit reached", "q").await;
     assert_eq!(started.elapsed(), Duration::ZERO, "no answer waited for its deadline");
     insta::assert_snapshot!(lines.join("\n"));
@@ -213,7 +215,7 @@
 async fn every_backend_server_is_probed_in_turn() {
     let script = |_: &Leaf, search: &LeafSearch| (Duration::ZERO, Ok(answer(search)));
     let (context, calls) = context(1000, 1, &[1], "", Box::new(script));
-    tokio::spawn(hawthornstand::health_poll::run(std::sync::Arc::clone(&context)));
+    tokio::spawn(hawthornstand::backends::health_poll::run(std::sync::Arc::clone(&context)));
     tokio::time::sleep(Duration::from_secs(10)).await;
     let mut probed: Vec<String> = calls.lock().unwrap().clone();
     probed.sort();
--- a/crates/hawthornstand/tests/contract_caller.rs
+++ b/crates/hawthornstand/tests/contract_caller.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthornstand::http_server::HttpLimits;
-use hawthornstand::{caller_http, http_server};
+use hawthornstand::callers::caller_http;
+use hawthornstand::process::http_server;
+use hawthornstand::process::http_server::HttpLimits;
 use hawthornstand_standins::http;
 use rstest::rstest;
 use support::{answer, context};
--- a/crates/hawthornstand/tests/contract_http_backend.rs
+++ b/crates/hawthornstand/tests/contract_http_backend.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use h2::Reason;
-use hawthornstand::backend::{BackendClient, CallContext, CallError, HttpBackend};
-use hawthornstand::connect_rate::ConnectRate;
-use hawthornstand::connections::{ConnectionOptions, Connections};
-use hawthornstand::leaf::Leaf;
+use hawthornstand::backends::backend::{BackendClient, CallContext, CallError, HttpBackend};
+use hawthornstand::backends::connect_rate::ConnectRate;
+use hawthornstand::backends::connections::{ConnectionOptions, Connections};
+use hawthornstand::backends::leaf::Leaf;
+use hawthornstand::configuration::published::accept;
 use hawthornstand::messages::LeafBooking;
-use hawthornstand::published::accept;
 use rstest::rstest;
 use tokio::net::TcpListener;
 
--- a/crates/hawthornstand/tests/contract_peer.rs
+++ b/crates/hawthornstand/tests/contract_peer.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use hawthornstand::context::Context;
-use hawthornstand::link::{self, PROTOCOL_VERSION, encode};
+use hawthornstand::configuration::published::RawConfig;
+use hawthornstand::fleet::link::{self, PROTOCOL_VERSION, encode};
 use hawthornstand::messages::{
     BlockSearch, ConfigDelta, Fact, FactBody, ForwardedBooking, Frame, Hello, LoneRun, LoneVerdict,
     PeerRequest, PeerResponse, PeerVm, PeerVmList, Published,
 };
-use hawthornstand::published::RawConfig;
+use hawthornstand::process::context::Context;
 use rstest::rstest;
 use support::{answer, context};
 use tokio::net::{TcpListener, TcpStream};
@@ -157,9 +157,15 @@
     let (context, _) =
         context(1, 1, &[1], "", Box::new(|_, search| (Duration::ZERO, Ok(answer(search)))));
     let delta = ConfigDelta { after: 5, changes: Vec::new(), revision: 6 };
-    assert_eq!(context.config.apply_delta(&delta), hawthornstand::config_store::Offer::Stale);
+    assert_eq!(
+        context.config.apply_delta(&delta),
+        hawthornstand::configuration::config_store::Offer::Stale
+    );
     let empty = RawConfig::default();
-    assert_eq!(context.config.offer(&empty), hawthornstand::config_store::Offer::Stale);
+    assert_eq!(
+        context.config.offer(&empty),
+        hawthornstand::configuration::config_store::Offer::Stale
+    );
 }
 
 /// Serves one link: collects two requests and answers them in reverse order, each twice, with strays between.
--- a/crates/hawthornstand/tests/contract_platform.rs
+++ b/crates/hawthornstand/tests/contract_platform.rs
@@ -6,10 +6,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hawthornstand::backend::BoxFuture;
-use hawthornstand::config_watch;
-use hawthornstand::platform::{PlatformError, PlatformReader};
-use hawthornstand::published::{ConfigChanges, ConfigEntry, WatchAnswer};
+use hawthornstand::backends::backend::BoxFuture;
+use hawthornstand::configuration::config_watch;
+use hawthornstand::configuration::platform::{PlatformError, PlatformReader};
+use hawthornstand::configuration::published::{ConfigChanges, ConfigEntry, WatchAnswer};
 use rstest::rstest;
 use support::{answer, context};
 
@@ -73,10 +73,10 @@
         context(1, 1, &[1], "", Box::new(|_, search| (Duration::ZERO, Ok(answer(search)))));
     let mut settings = context.settings.clone();
     settings.platform.addresses = vec!["127.0.0.1:1".to_string()];
-    let fresh = hawthornstand::context::Context::with_parts(
+    let fresh = hawthornstand::process::context::Context::with_parts(
         settings,
-        Arc::new(hawthornstand::clock::SystemClock),
-        Box::new(hawthornstand::backend::HttpBackend),
+        Arc::new(hawthornstand::process::clock::SystemClock),
+        Box::new(hawthornstand::backends::backend::HttpBackend),
     );
     fresh.config.offer(&support::published(1, 1));
     let context = Arc::new(fresh);
--- a/crates/hawthornstand/tests/decoders.rs
+++ b/crates/hawthornstand/tests/decoders.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use hawthornstand::link;
+use hawthornstand::bookings::ticket::{Ticket, TicketKey};
+use hawthornstand::configuration::published::{ConfigEntry, RawConfig, accept};
+use hawthornstand::fleet::link;
 use hawthornstand::messages::{Frame, LeafAnswer, SearchRequest};
-use hawthornstand::published::{ConfigEntry, RawConfig, accept};
 use hawthornstand::settings;
-use hawthornstand::ticket::{Ticket, TicketKey};
 use proptest::prelude::*;
 
 proptest! {
--- a/crates/hawthornstand/tests/gateway_metrics.rs
+++ b/crates/hawthornstand/tests/gateway_metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hawthornstand::gateway::telemetry::Telemetry;
-use hawthornstand::log_limit::LogLosses;
+use hawthornstand::process::log_limit::LogLosses;
 
 const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 
--- a/crates/hawthornstand/tests/gateway_policy.rs
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthornstand::budget::Budget;
-use hawthornstand::clock::SystemClock;
 use hawthornstand::gateway::choice::Standing;
 use hawthornstand::gateway::directory::Directory;
 use hawthornstand::gateway::estimate::{Estimate, hedge_delay};
@@ -17,6 +15,8 @@
 use hawthornstand::gateway::settings::{ExtraBounds, GatewaySettings, Place};
 use hawthornstand::gateway::shares::Shares;
 use hawthornstand::gateway::time_budget::TimeBudget;
+use hawthornstand::policy::budget::Budget;
+use hawthornstand::process::clock::SystemClock;
 use rstest::rstest;
 use tokio::time::Instant;
 
--- a/crates/hawthornstand/tests/limits.rs
+++ b/crates/hawthornstand/tests/limits.rs
@@ -5,15 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthornstand::admission::Admission;
-use hawthornstand::budget::Budget;
+use hawthornstand::backends::reach::{divide, group};
+use hawthornstand::bookings::ticket_office::{Presented, TicketOffice};
+use hawthornstand::configuration::published::{Fleet, ServicePriority};
+use hawthornstand::fleet::overlay::neighbours;
 use hawthornstand::messages::{Outcome, PeerVm};
-use hawthornstand::overlay::neighbours;
-use hawthornstand::published::{Fleet, ServicePriority};
-use hawthornstand::quarantine::{Quarantine, Standing};
-use hawthornstand::reach::{divide, group};
+use hawthornstand::policy::admission::Admission;
+use hawthornstand::policy::budget::Budget;
+use hawthornstand::policy::quarantine::{Quarantine, Standing};
 use hawthornstand::settings::{AdmissionSettings, BookingSettings, BudgetSettings};
-use hawthornstand::ticket_office::{Presented, TicketOffice};
 use rstest::rstest;
 use support::FakeClock;
 use tokio::time::Instant;
@@ -207,7 +207,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn connections_open_at_a_bounded_rate() {
-    let rate = hawthornstand::connect_rate::ConnectRate::new(100);
+    let rate = hawthornstand::backends::connect_rate::ConnectRate::new(100);
     let started = Instant::now();
     for _ in 0..300 {
         rate.wait().await;
--- a/crates/hawthornstand/tests/log_lines.rs
+++ b/crates/hawthornstand/tests/log_lines.rs
@@ -2,8 +2,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use hawthornstand::log_limit::{LINES_PER_WINDOW, LimitedLog, WINDOW};
-use hawthornstand::request_story;
+use hawthornstand::process::log_limit::{LINES_PER_WINDOW, LimitedLog, WINDOW};
+use hawthornstand::process::request_story;
 use log::{Log, Metadata, Record};
 use prometheus_client::metrics::counter::Counter;
 
--- a/crates/hawthornstand/tests/lone_runs.rs
+++ b/crates/hawthornstand/tests/lone_runs.rs
@@ -6,10 +6,10 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use hawthornstand::backend::CallError;
-use hawthornstand::leaf::Leaf;
-use hawthornstand::lone_run;
+use hawthornstand::backends::backend::CallError;
+use hawthornstand::backends::leaf::Leaf;
 use hawthornstand::messages::{LeafSearch, LoneVerdict};
+use hawthornstand::policy::lone_run;
 use support::{answer, context};
 use tokio::time::Instant;
 
--- a/crates/hawthornstand/tests/merge.rs
+++ b/crates/hawthornstand/tests/merge.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use hawthornstand::merge::Merger;
 use hawthornstand::messages::{LeafAnswer, MissingReason};
-use hawthornstand::slices::SliceSet;
+use hawthornstand::searches::merge::Merger;
+use hawthornstand::searches::slices::SliceSet;
 use proptest::prelude::*;
 use support::{answer_for, range};
 
--- a/crates/hawthornstand/tests/settings_messages.rs
+++ b/crates/hawthornstand/tests/settings_messages.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use hawthornstand::config_store::{ConfigStore, Offer};
+use hawthornstand::configuration::config_store::{ConfigStore, Offer};
+use hawthornstand::configuration::published::{ConfigChanges, ConfigEntry, RawConfig, accept};
 use hawthornstand::error::ANSWERS;
-use hawthornstand::published::{ConfigChanges, ConfigEntry, RawConfig, accept};
 use hawthornstand::settings;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -99,7 +99,8 @@
 #[test]
 fn every_setting_is_documented() {
     let schema: serde_json::Value =
-        serde_json::from_str(hawthornstand::schema_check::SETTINGS_SCHEMA).expect("a schema");
+        serde_json::from_str(hawthornstand::configuration::schema_check::SETTINGS_SCHEMA)
+            .expect("a schema");
     let page = include_str!("../../../docs/SETTINGS.md");
     for (_, module) in schema["definitions"].as_object().expect("definitions") {
         for (option, definition) in module["properties"].as_object().expect("properties") {
--- a/crates/hawthornstand/tests/slices.rs
+++ b/crates/hawthornstand/tests/slices.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use hawthornstand::slices::SliceSet;
+use hawthornstand::searches::slices::SliceSet;
 use proptest::prelude::*;
 
 type Ranges = Vec<(u64, u64)>;
--- a/crates/hawthornstand/tests/support/mod.rs
+++ b/crates/hawthornstand/tests/support/mod.rs
@@ -6,17 +6,17 @@
 use std::time::Duration;
 
 use fastrace::Span;
-use hawthornstand::backend::{BackendClient, BoxFuture, CallContext, CallError};
-use hawthornstand::clock::{Clock, SystemClock};
-use hawthornstand::context::Context;
+use hawthornstand::backends::backend::{BackendClient, BoxFuture, CallContext, CallError};
+use hawthornstand::backends::leaf::Leaf;
+use hawthornstand::configuration::published::{ConfigChanges, ConfigEntry, RawConfig};
 use hawthornstand::ids::IndexVersion;
-use hawthornstand::leaf::Leaf;
 use hawthornstand::messages::{
     Hit, LeafAnswer, LeafBooking, LeafHealth, LeafHealthState, LeafSearch, SearchRequest,
     SliceRange,
 };
-use hawthornstand::published::{ConfigChanges, ConfigEntry, RawConfig};
-use hawthornstand::search::Search;
+use hawthornstand::process::clock::{Clock, SystemClock};
+use hawthornstand::process::context::Context;
+use hawthornstand::searches::search::Search;
 use hawthornstand::settings::{self, DaemonSettings};
 use tokio::time::Instant;
 
