Break the import circle through context.rs

Cause: 16 files imported each other through context.rs, since what a part holds and what acts on it shared a file. Change: plan.rs (plan and its cache) out of planner, version_reports out of block_versions, Booking into booking_run; Peers takes the VM list and a Dial trait instead of the context, link implements it.

--- a/crates/hawthornstand/src/bookings/booking.rs
+++ b/crates/hawthornstand/src/bookings/booking.rs
@@ -5,12 +5,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::bookings::booking_run;
+use crate::bookings::booking_run::{self, Booking};
 use crate::bookings::ticket::{Ticket, fleet_hash};
 use crate::bookings::ticket_office::{BookingResult, PendingResult, Presented};
 use crate::error::{ErrorKind, Failure};
 use crate::fleet::peers::RequestError;
-use crate::ids::{Fingerprint, UnixMs, fingerprint};
 use crate::messages::{
     BookingReply, BookingRequest, ForwardedBooking, Outcome, PeerRequest, PeerResponse,
     RelayedBooking,
@@ -18,28 +17,6 @@
 use crate::process::clock::deadline_instant;
 use crate::process::context::Context;
 
-/// A caller's booking with what came in its headers.
-#[derive(Clone, Debug)]
-pub struct Booking {
-    pub deadline_unix_ms: UnixMs,
-    pub request: BookingRequest,
-    pub service: String,
-    pub ticket: String,
-    pub traceparent: String,
-}
-
-impl Booking {
-    /// Returns the text that identifies the request.
-    pub fn body(&self) -> String {
-        format!("{}\n{}", self.request.key, self.request.payload)
-    }
-
-    /// Returns the fingerprint that ties a ticket to its request.
-    pub fn fingerprint(&self) -> Fingerprint {
-        fingerprint(&self.service, &self.body())
-    }
-}
-
 /// Runs a booking, or joins the run that its ticket already started anywhere in the fleet.
 pub async fn run(context: &Arc<Context>, booking: Booking) -> BookingResult {
     let Some(accepted) = context.config.accepted() else {
@@ -179,7 +156,7 @@
     if ticket.vm_id == context.identity.vm_id {
         return Err(issuer_gone(ticket));
     }
-    match context.peers.request(context, &ticket.vm_id, request, deadline).await {
+    match context.peers.request(&context.config.list(), &ticket.vm_id, request, deadline).await {
         Ok(PeerResponse::Booking(BookingReply::Done(answer))) => Ok(answer),
         Ok(PeerResponse::Booking(BookingReply::Refused(refusal))) => {
             Err(Failure::from_refusal(refusal))
--- a/crates/hawthornstand/src/bookings/booking_run.rs
+++ b/crates/hawthornstand/src/bookings/booking_run.rs
@@ -9,13 +9,13 @@
 
 use crate::backends::backend::{CallContext, CallError};
 use crate::backends::leaf::Leaf;
-use crate::bookings::booking::Booking;
 use crate::bookings::ticket_office::BookingResult;
 use crate::error::{ErrorKind, Failure};
 use crate::fleet::peers::RequestError;
+use crate::ids::{Fingerprint, UnixMs, fingerprint};
 use crate::messages::{
-    BookingAnswer, BookingReply, LeafBooking, LeafRefusalReason, LoneVerdict, Outcome, PeerRequest,
-    PeerResponse, RelayedBooking,
+    BookingAnswer, BookingReply, BookingRequest, LeafBooking, LeafRefusalReason, LoneVerdict,
+    Outcome, PeerRequest, PeerResponse, RelayedBooking,
 };
 use crate::policy::lone_run;
 use crate::policy::quarantine::Standing;
@@ -28,6 +28,28 @@
 use crate::searches::relay::relays;
 use crate::searches::slices::SliceSet;
 
+/// A caller's booking with what came in its headers.
+#[derive(Clone, Debug)]
+pub struct Booking {
+    pub deadline_unix_ms: UnixMs,
+    pub request: BookingRequest,
+    pub service: String,
+    pub ticket: String,
+    pub traceparent: String,
+}
+
+impl Booking {
+    /// Returns the text that identifies the request.
+    pub fn body(&self) -> String {
+        format!("{}\n{}", self.request.key, self.request.payload)
+    }
+
+    /// Returns the fingerprint that ties a ticket to its request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        fingerprint(&self.service, &self.body())
+    }
+}
+
 /// Runs a booking on one backend server of its shard; it is handed over to at most one.
 ///
 /// `may_relay` allows it to go through a VM that reaches the shard.
@@ -199,7 +221,7 @@
             service: booking.service.clone(),
             traceparent: booking.traceparent.clone(),
         });
-        match context.peers.request(context, &vm, request, deadline).await {
+        match context.peers.request(&context.config.list(), &vm, request, deadline).await {
             Ok(PeerResponse::Booking(BookingReply::Done(answer))) => return Ok(answer),
             Ok(PeerResponse::Booking(BookingReply::Refused(refusal))) => {
                 return Err(Failure::from_refusal(refusal));
--- a/crates/hawthornstand/src/callers/caller_http.rs
+++ b/crates/hawthornstand/src/callers/caller_http.rs
@@ -12,7 +12,8 @@
 use tokio::time::Instant;
 
 use crate::backends::backend::TRACEPARENT_HEADER;
-use crate::bookings::booking::{self, Booking};
+use crate::bookings::booking;
+use crate::bookings::booking_run::Booking;
 use crate::callers::request_headers::{self, RequestHeaders};
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{BookingRequest, SearchRequest};
--- a/crates/hawthornstand/src/fleet/link.rs
+++ b/crates/hawthornstand/src/fleet/link.rs
@@ -1,6 +1,6 @@
 //! One websocket link between two VMs, run by one task.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,10 +13,11 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use crate::backends::backend::BoxFuture;
 use crate::backends::connections::connect_from;
 use crate::fleet::gossip;
 use crate::fleet::peer_service;
-use crate::fleet::peers::Link;
+use crate::fleet::peers::{Dial, Link};
 use crate::locks::lock;
 use crate::messages::{Frame, Hello};
 use crate::process::context::{Context, own_ip};
@@ -66,6 +67,25 @@
     }
 }
 
+/// Opens links for requests of this process.
+pub struct Dialer(Weak<Context>);
+
+impl Dialer {
+    /// Creates a dialer that opens links as long as the process's state exists.
+    pub fn new(context: &Arc<Context>) -> Self {
+        Self(Arc::downgrade(context))
+    }
+}
+
+impl Dial for Dialer {
+    fn dial<'a>(&'a self, address: &'a str) -> BoxFuture<'a, ()> {
+        Box::pin(async move {
+            let Some(context) = self.0.upgrade() else { return };
+            dial(&context, address, true).await;
+        })
+    }
+}
+
 /// Opens a link to an address; returns once it is usable or has failed.
 pub async fn dial(context: &Arc<Context>, address: &str, on_demand: bool) -> bool {
     let attempt = async {
--- a/crates/hawthornstand/src/fleet/mod.rs
+++ b/crates/hawthornstand/src/fleet/mod.rs
@@ -12,3 +12,5 @@
 pub mod peer_service;
 #[cfg(feature = "own-interface")]
 pub mod peers;
+#[cfg(feature = "own-interface")]
+pub mod version_reports;
--- a/crates/hawthornstand/src/fleet/peers.rs
+++ b/crates/hawthornstand/src/fleet/peers.rs
@@ -1,17 +1,18 @@
 //! Links to other VMs: who is linked, requests over links, and facts spread over them.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::fleet::link;
+use crate::backends::backend::BoxFuture;
 use crate::ids::VmId;
 use crate::locks::lock;
-use crate::messages::{Fact, FactBody, Frame, Heartbeat, Hello, PeerRequest, PeerResponse};
-use crate::process::context::Context;
+use crate::messages::{
+    Fact, FactBody, Frame, Heartbeat, Hello, PeerRequest, PeerResponse, PeerVmList,
+};
 
 /// Time for which a VM that could not be reached is not tried again for requests.
 const UNREACHABLE_PENALTY: Duration = Duration::from_secs(3);
@@ -117,9 +118,16 @@
     }
 }
 
+/// Opens links when a request needs one.
+pub trait Dial: Send + Sync {
+    /// Opens a link to an address and adds it, if that succeeds.
+    fn dial<'a>(&'a self, address: &'a str) -> BoxFuture<'a, ()>;
+}
+
 /// All links of this VM.
 #[derive(Default)]
 pub struct Peers {
+    dialer: OnceLock<Box<dyn Dial>>,
     dialing: tokio::sync::Mutex<()>,
     /// Sorted by VM identity; two VMs may hold two links.
     links: Mutex<Vec<Arc<Link>>>,
@@ -130,15 +138,22 @@
 }
 
 impl Peers {
+    /// Sets how links are opened for requests; without it only links that others opened are used.
+    pub fn set_dialer(&self, dialer: Box<dyn Dial>) {
+        if self.dialer.set(dialer).is_err() {
+            log::warn!("links are opened in two ways; the first is used");
+        }
+    }
+
     /// Sends a request to a VM, over an open link or a new one, and waits for its response.
     pub async fn request(
         &self,
-        context: &Arc<Context>,
+        list: &PeerVmList,
         vm_id: &VmId,
         request: PeerRequest,
         deadline: Instant,
     ) -> Result<PeerResponse, RequestError> {
-        let opened = tokio::time::timeout_at(deadline, self.link_to(context, vm_id)).await;
+        let opened = tokio::time::timeout_at(deadline, self.link_to(list, vm_id)).await;
         let Ok(Some(link)) = opened else {
             self.note_unreachable(vm_id);
             return Err(RequestError::NotSent);
@@ -248,11 +263,10 @@
     }
 
     /// Returns an open link, dialing the VM if it is listed.
-    async fn link_to(&self, context: &Arc<Context>, vm_id: &VmId) -> Option<Arc<Link>> {
+    async fn link_to(&self, list: &PeerVmList, vm_id: &VmId) -> Option<Arc<Link>> {
         if let Some(link) = self.find(vm_id) {
             return Some(link);
         }
-        let list = context.config.list();
         let index = list.vms.binary_search_by(|vm| vm.id.cmp(vm_id)).ok()?;
         if !list.vms[index].entry {
             return None;
@@ -261,7 +275,7 @@
         if let Some(link) = self.find(vm_id) {
             return Some(link);
         }
-        link::dial(context, &list.vms[index].address, true).await;
+        self.dialer.get()?.dial(&list.vms[index].address).await;
         self.find(vm_id)
     }
 
--- a/crates/hawthornstand/src/policy/lone_run.rs
+++ b/crates/hawthornstand/src/policy/lone_run.rs
@@ -13,7 +13,8 @@
 use crate::messages::{FactBody, LeafSearch, LoneRun, LoneVerdict, PeerRequest, PeerResponse};
 use crate::policy::quarantine::Standing;
 use crate::process::context::Context;
-use crate::searches::planner::{Plan, Segment, plan};
+use crate::searches::plan::{Plan, Segment};
+use crate::searches::planner::plan;
 use crate::searches::relay::relays;
 
 /// Clears a suspect through the VM that owns it.
@@ -183,7 +184,7 @@
         query: query.to_string(),
         service: service.to_string(),
     });
-    match context.peers.request(context, vm, request, deadline).await {
+    match context.peers.request(&context.config.list(), vm, request, deadline).await {
         Ok(PeerResponse::Lone(verdict)) => verdict,
         _ => LoneVerdict::Undecided,
     }
--- a/crates/hawthornstand/src/process/context.rs
+++ b/crates/hawthornstand/src/process/context.rs
@@ -25,7 +25,7 @@
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::metrics::Metrics;
 use crate::process::timer::TimerService;
-use crate::searches::planner::PlanCache;
+use crate::searches::plan::PlanCache;
 use crate::settings::DaemonSettings;
 
 /// Who this process is.
--- a/crates/hawthornstand/src/process/daemon.rs
+++ b/crates/hawthornstand/src/process/daemon.rs
@@ -12,10 +12,10 @@
 use crate::callers::caller_http;
 use crate::configuration::config_watch;
 use crate::configuration::platform::HttpPlatform;
-use crate::fleet::block_versions;
 use crate::fleet::gossip;
 use crate::fleet::link;
 use crate::fleet::overlay;
+use crate::fleet::version_reports;
 use crate::policy::ejection;
 use crate::process::admin_http;
 use crate::process::context::Context;
@@ -38,9 +38,10 @@
         call_timeout: Duration::from_millis(settings.platform.call_timeout_ms),
     });
     let context = Arc::new(Context::new(settings));
+    context.peers.set_dialer(Box::new(link::Dialer::new(&context)));
     let (stop, stopped) = watch::channel(false);
 
-    tokio::spawn(block_versions::run(Arc::clone(&context)));
+    tokio::spawn(version_reports::run(Arc::clone(&context)));
     tokio::spawn(config_watch::run(Arc::clone(&context), platform));
     tokio::spawn(ejection::run(Arc::clone(&context)));
     tokio::spawn(gossip::run(Arc::clone(&context)));
--- a/crates/hawthornstand/src/searches/block_search.rs
+++ b/crates/hawthornstand/src/searches/block_search.rs
@@ -12,7 +12,8 @@
 };
 use crate::process::clock::deadline_instant;
 use crate::process::context::Context;
-use crate::searches::planner::{Segment, plan};
+use crate::searches::plan::Segment;
+use crate::searches::planner::plan;
 use crate::searches::segment_search::{SearchScope, SegmentResult, search_segment};
 use crate::searches::slices::SliceSet;
 
--- a/crates/hawthornstand/src/searches/mod.rs
+++ b/crates/hawthornstand/src/searches/mod.rs
@@ -4,6 +4,8 @@
 pub mod block_search;
 pub mod merge;
 #[cfg(feature = "own-interface")]
+pub mod plan;
+#[cfg(feature = "own-interface")]
 pub mod planner;
 #[cfg(feature = "own-interface")]
 pub mod relay;
--- a/crates/hawthornstand/src/searches/planner.rs
+++ b/crates/hawthornstand/src/searches/planner.rs
@@ -1,56 +1,14 @@
 //! Plans a search: one index version for all of it, and the replicas of every part of the key space.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 
 use crate::backends::leaf::Leaf;
-use crate::configuration::published::{Accepted, PlacedService, Service};
-use crate::derives::value_types;
-use crate::ids::{BlockId, IndexVersion, Revision, ServiceName, Slice};
+use crate::configuration::published::{Accepted, PlacedService};
+use crate::ids::{BlockId, IndexVersion, Slice};
 use crate::process::context::Context;
+use crate::searches::plan::{BlockPlan, Plan, Segment};
 use crate::searches::slices::SliceSet;
 
-/// A part of the key space with the replicas that claim to hold all of it.
-#[derive(Clone)]
-pub struct Segment {
-    pub replicas: Vec<Arc<Leaf>>,
-    pub slices: SliceSet,
-}
-
-/// The part of a plan that lies in one block.
-#[derive(Clone)]
-pub struct BlockPlan {
-    pub block: BlockId,
-    /// Whether this VM connects to the backend servers of the block.
-    pub local: bool,
-    pub segments: Vec<Segment>,
-    /// Slices published for the block.
-    pub slices: SliceSet,
-}
-
-/// Plan of a service at one version.
-pub struct Plan {
-    pub blocks: Vec<BlockPlan>,
-    pub service: Service,
-    pub slices: SliceSet,
-    pub version: IndexVersion,
-}
-
-value_types! {
-    struct CacheKey {
-        generation: u64,
-        revision: Revision,
-        service: ServiceName,
-        version: Option<IndexVersion>,
-    }
-}
-
-/// Remembers plans until the state they were made for changes.
-#[derive(Default)]
-pub struct PlanCache {
-    /// Sorted by service name and version.
-    plans: RwLock<Vec<(CacheKey, Arc<Plan>)>>,
-}
-
 /// Returns the plan of a service, at a given version or at the newest one that is held completely.
 pub fn plan(
     context: &Context,
@@ -60,30 +18,9 @@
 ) -> Option<Arc<Plan>> {
     let generation = context.leafs.generation();
     let placed = accepted.service(name)?;
-    let order = |key: &CacheKey| (key.service.as_str(), key.version).cmp(&(name, version));
-    {
-        let plans = context.plans.plans.read().unwrap_or_else(PoisonError::into_inner);
-        if let Ok(index) = plans.binary_search_by(|(key, _)| order(key)) {
-            let (key, plan) = &plans[index];
-            if key.generation == generation && key.revision == accepted.raw.revision {
-                return Some(Arc::clone(plan));
-            }
-        }
-    }
-    let plan = Arc::new(make_plan(context, accepted, placed, version));
-    let key = CacheKey {
-        generation,
-        revision: accepted.raw.revision,
-        service: name.to_string(),
-        version,
-    };
-    let mut plans = context.plans.plans.write().unwrap_or_else(PoisonError::into_inner);
-    plans.retain(|(key, _)| key.version.is_none() || key.generation == generation);
-    match plans.binary_search_by(|(key, _)| order(key)) {
-        Ok(index) => plans[index] = (key, Arc::clone(&plan)),
-        Err(index) => plans.insert(index, (key, Arc::clone(&plan))),
-    }
-    Some(plan)
+    let revision = accepted.raw.revision;
+    let make = || make_plan(context, accepted, placed, version);
+    Some(context.plans.get_or_make(name, version, generation, revision, make))
 }
 
 /// Makes a plan from the present state.
--- a/crates/hawthornstand/src/searches/relay.rs
+++ b/crates/hawthornstand/src/searches/relay.rs
@@ -10,7 +10,7 @@
 use crate::process::context::Context;
 use crate::process::trace::traceparent_of;
 use crate::searches::block_search::BlockResult;
-use crate::searches::planner::BlockPlan;
+use crate::searches::plan::BlockPlan;
 use crate::searches::segment_search::SearchScope;
 use crate::searches::slices::SliceSet;
 
@@ -42,7 +42,12 @@
         }
         scope.context.metrics.count("relay.requests");
         let limit = attempt_limit(scope, index + 1 < relays.len().min(MAX_RELAYS));
-        match scope.context.peers.request(scope.context, relay, request.clone(), limit).await {
+        match scope
+            .context
+            .peers
+            .request(&scope.context.config.list(), relay, request.clone(), limit)
+            .await
+        {
             Ok(PeerResponse::Block(answer)) => {
                 if answer.suspect {
                     scope.context.note_suspect(scope.service, scope.query);
--- a/crates/hawthornstand/src/searches/search.rs
+++ b/crates/hawthornstand/src/searches/search.rs
@@ -18,7 +18,8 @@
 use crate::process::context::Context;
 use crate::searches::block_search::{BlockResult, search_segments};
 use crate::searches::merge::Merger;
-use crate::searches::planner::{Plan, plan, segments};
+use crate::searches::plan::Plan;
+use crate::searches::planner::{plan, segments};
 use crate::searches::relay::search_block;
 use crate::searches::segment_search::SearchScope;
 
--- a/crates/hawthornstand/src/searches/segment_search.rs
+++ b/crates/hawthornstand/src/searches/segment_search.rs
@@ -18,7 +18,7 @@
 use crate::policy::service_state::ServiceState;
 use crate::process::context::Context;
 use crate::process::trace::traceparent_of;
-use crate::searches::planner::Segment;
+use crate::searches::plan::Segment;
 use crate::searches::slices::SliceSet;
 
 /// Most attempts at one segment, hedges included.
--- a/crates/hawthornstand/tests/contract_peer.rs
+++ b/crates/hawthornstand/tests/contract_peer.rs
@@ -206,6 +206,7 @@
         region: "r".to_string(),
     };
     context.config.offer_list(PeerVmList { revision: 1, vms: vec![vm] });
+    context.peers.set_dialer(Box::new(link::Dialer::new(&context)));
     tokio::spawn(disorderly_peer(listener));
     let ask = |query: &str| {
         let run = LoneRun {
@@ -217,7 +218,8 @@
         let (context, vm) = (Arc::clone(&context), "entry-9".to_string());
         async move {
             let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
-            context.peers.request(&context, &vm, PeerRequest::LoneRun(run), deadline).await
+            let list = context.config.list();
+            context.peers.request(&list, &vm, PeerRequest::LoneRun(run), deadline).await
         }
     };
     let (a, b) = tokio::join!(ask("a"), ask("b"));
