--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -1,6 +1,6 @@
 //! What a VM believes, for the person on call.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::gateway::server::Proximity;
@@ -8,7 +8,7 @@
 use crate::ids::{LeafId, Revision, ServiceName};
 
 /// Beliefs of one VM.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct GatewayStatus {
     /// Version of the configuration in force; none before the first.
     pub config_version: Option<u64>,
@@ -23,7 +23,7 @@
 }
 
 /// A service with its backend servers.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct ServiceStatus {
     pub name: ServiceName,
     /// Requests in the window of the budget, and the extra attempts spent on them.
@@ -33,11 +33,11 @@
 }
 
 /// One backend server.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct ServerStatus {
     pub id: LeafId,
     pub address: String,
-    pub proximity: &'static str,
+    pub proximity: String,
     /// What the published list says.
     pub listing: String,
     /// How much it is trusted with new requests.
@@ -60,7 +60,7 @@
             servers.push(ServerStatus {
                 id: server.published.id.clone(),
                 address: server.published.address.to_string(),
-                proximity: describe_proximity(server.proximity),
+                proximity: describe_proximity(server.proximity).to_string(),
                 listing: format!("{:?}", server.listing()),
                 standing: format!("{:?}", candidate.standing),
                 expected_ms: candidate.expected.as_millis() as u64,
--- a/crates/hawthornstand/src/process/cli.rs
+++ b/crates/hawthornstand/src/process/cli.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
@@ -14,7 +15,9 @@
 use crate::callers::request_headers::{COVERAGE_HEADER, TICKET_HEADER, TIMEOUT_HEADER};
 use crate::configuration::published::{ConfigEntry, RawConfig, accept};
 use crate::configuration::schema_check::Finding;
+use crate::gateway::status::GatewayStatus;
 use crate::messages::{BookingAnswer, Outcome, Refusal, SearchAnswer, SliceRange};
+use crate::process::gateway_text;
 use crate::process::status::{Explanation, Status};
 use crate::settings;
 
@@ -64,6 +67,14 @@
     }
 }
 
+/// State of a VM, whichever way in it serves.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Shown {
+    Own(Box<Status>),
+    Gateway(GatewayStatus),
+}
+
 /// A search to send.
 pub struct QueryRequest {
     pub complete_only: bool,
@@ -110,15 +121,26 @@
 
 /// Shows the state of a VM.
 pub async fn status(address: &str, output: Output) -> Result<String, CliError> {
-    let status: Status = get(address, "/status").await?;
-    if output == Output::Json {
-        return Ok(to_json(&status));
-    }
-    Ok(status_text(&status))
+    let shown: Shown = get(address, "/status").await?;
+    Ok(match (shown, output) {
+        (Shown::Gateway(status), Output::Json) => to_json(&status),
+        (Shown::Gateway(status), Output::Text) => gateway_text::overview(&status),
+        (Shown::Own(status), Output::Json) => to_json(&status),
+        (Shown::Own(status), Output::Text) => status_text(&status),
+    })
 }
 
 /// Shows what a service's selector picks.
 pub async fn explain(address: &str, service: &str, output: Output) -> Result<String, CliError> {
+    if let Shown::Gateway(status) = get(address, "/status").await? {
+        let Some(known) = status.services.iter().find(|known| known.name == service) else {
+            return Err(CliError::Usage(format!("no service is named {service}")));
+        };
+        return Ok(match output {
+            Output::Json => to_json(known),
+            Output::Text => gateway_text::service(known),
+        });
+    }
     let explanation: Explanation = get(address, &format!("/explain/{service}")).await?;
     if output == Output::Json {
         return Ok(to_json(&explanation));
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -10,6 +10,8 @@
 #[cfg(feature = "own-interface")]
 pub mod daemon;
 pub mod ending;
+#[cfg(feature = "own-interface")]
+pub mod gateway_text;
 pub mod http_server;
 pub mod log_limit;
 pub mod metrics;
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -0,0 +1,75 @@
+//! What the operators' tool shows of a VM on the users' platform.
+
+use std::time::Duration;
+
+use hawthornstand::gateway::status::{GatewayStatus, ServerStatus, ServiceStatus};
+use hawthornstand::process::cli::{self, Output};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+fn server(id: &str, standing: &str, listing: &str) -> ServerStatus {
+    ServerStatus {
+        id: id.to_string(),
+        address: "10.1.0.7:8001".to_string(),
+        proximity: "same region".to_string(),
+        listing: listing.to_string(),
+        standing: standing.to_string(),
+        expected_ms: 23,
+        failure_percent: 4,
+        in_flight: 1,
+        connections: 2,
+        max_connections: 3,
+    }
+}
+
+fn status() -> GatewayStatus {
+    GatewayStatus {
+        config_version: Some(12),
+        fleet: 9,
+        as_of: 4711,
+        confirmed_ms_ago: Some(820),
+        store_away: true,
+        services: vec![ServiceStatus {
+            name: "shard-a".to_string(),
+            requests_in_window: 190,
+            extra_in_window: 21,
+            servers: vec![
+                server("i-1", "Usable", "Listed"),
+                server("i-2", "Pausing", "Listed"),
+                server("i-3", "Unusable", "Leaving"),
+            ],
+        }],
+    }
+}
+
+/// Answers every request with the status, as a VM does; returns the address.
+async fn vm() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address").to_string();
+    let body = serde_json::to_string(&status()).expect("JSON");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            let _ = stream.read(&mut request).await;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all((head + &body).as_bytes()).await.expect("an answer");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn status_of_a_vm_on_the_platform() {
+    let text = cli::status(&vm().await, Output::Text).await.expect("a status");
+    insta::assert_snapshot!(text);
+}
+
+#[tokio::test]
+async fn service_explained_by_a_vm_on_the_platform() {
+    let address = vm().await;
+    let text = cli::explain(&address, "shard-a", Output::Text).await.expect("a service");
+    insta::assert_snapshot!(text);
+    let unknown = cli::explain(&address, "shard-z", Output::Text).await.expect_err("no service");
+    assert_eq!(unknown.to_string(), "no service is named shard-z");
+}
