--- a/crates/hawthornstand/src/bin/hawthornstand.rs
+++ b/crates/hawthornstand/src/bin/hawthornstand.rs
@@ -152,7 +152,8 @@
         Command::Explain(explain) => {
             cli::explain(&explain.address, &explain.service, output(explain.json)).await
         }
-        Command::ExplainRequest(explain) => request_story::tell(&explain.id, &explain.files),
+        Command::ExplainRequest(explain) => request_story::tell(&explain.id, &explain.files)
+            .map_err(|error| CliError::Usage(error.to_string())),
         Command::Query(query) => {
             let request = cli::QueryRequest {
                 complete_only: query.complete,
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -15,7 +15,7 @@
 use crate::error::{ErrorKind, Failure};
 use crate::gateway::attempts::Means;
 use crate::gateway::call::{Answer, Outbound};
-use crate::gateway::model::Target;
+use crate::gateway::model::{Route, Target};
 use crate::gateway::routes::{Destination, PlacedRoute};
 use crate::gateway::scatter::Gathered;
 use crate::gateway::speech::CallerHeaders;
@@ -180,6 +180,9 @@
                         "answered in part"
                     );
                 }
+                if gathered.missing.is_empty() {
+                    note_late(request, route, &time);
+                }
                 Ok(self.gathered_response(gathered))
             }
             (Destination::One(shares), _) => {
@@ -187,6 +190,7 @@
                     return Err(Failure::new(ErrorKind::NoReplica, "the route has no service"));
                 };
                 let answer = forward::run(route, &service, request, &time, &self.means).await?;
+                note_late(request, route, &time);
                 Ok(forwarded_response(answer))
             }
             (Destination::Shards(_), Target::One(_)) => {
@@ -240,6 +244,20 @@
     }
 }
 
+/// Logs an answer that comes after the goal of its route.
+fn note_late(request: &Outbound, route: &Route, time: &TimeBudget) {
+    let waited = time.spent();
+    if waited <= route.goal {
+        return;
+    }
+    log::info!(
+        request = String::from_utf8_lossy(&request.request_id).as_ref(),
+        waited_ms = waited.as_millis() as u64,
+        goal_ms = route.goal.as_millis() as u64;
+        "answered late"
+    );
+}
+
 /// Hashes what makes two requests the same, whichever VM gets them.
 fn fingerprint(host: &str, request: &Outbound) -> Fingerprint {
     let mut hasher = Xxh3::new();
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -15,7 +15,6 @@
 pub mod http_server;
 pub mod log_limit;
 pub mod metrics;
-#[cfg(feature = "own-interface")]
 pub mod request_story;
 #[cfg(feature = "own-interface")]
 pub mod startup;
--- a/crates/hawthornstand/src/process/request_story.rs
+++ b/crates/hawthornstand/src/process/request_story.rs
@@ -2,15 +2,20 @@
 
 use std::path::{Path, PathBuf};
 
-use crate::process::cli::CliError;
+/// A log that cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("{file} cannot be read: {source}")]
+pub struct UnreadableLog {
+    file: String,
+    source: std::io::Error,
+}
 
 /// Returns the lines about a request, in the order of their timestamps, each with the file it stands in.
-pub fn tell(request_id: &str, files: &[PathBuf]) -> Result<String, CliError> {
+pub fn tell(request_id: &str, files: &[PathBuf]) -> Result<String, UnreadableLog> {
     let mut lines: Vec<(String, String)> = Vec::new();
     for file in files {
-        let text = std::fs::read_to_string(file).map_err(|error| {
-            CliError::Usage(format!("{} cannot be read: {error}", file.display()))
-        })?;
+        let text = std::fs::read_to_string(file)
+            .map_err(|source| UnreadableLog { file: file.display().to_string(), source })?;
         for line in text.lines().filter(|line| names_request(line, request_id)) {
             lines.push((timestamp(line).to_string(), format!("{}: {line}", name(file))));
         }
