Find a backend server by its identity without a look at every service

A sorted index of identities takes its place; servers that have left and are idle leave it too. Test: server_is_found_by_its_identity_in_whichever_service_it_was_last. Directory::age still shares connections five times a second: also 421 answers change who stays, and it costs a few atomics a service.

--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -73,6 +73,8 @@
 /// All services, whether routed to or not.
 pub struct Directory {
     fleet: Mutex<usize>,
+    /// The service of each backend server, sorted by identity.
+    places: Mutex<Vec<(LeafId, Arc<Service>)>>,
     /// Sorted by name.
     services: Mutex<Vec<Arc<Service>>>,
     settings: GatewaySettings,
@@ -81,7 +83,12 @@
 impl Directory {
     /// Creates an empty directory.
     pub fn new(settings: GatewaySettings) -> Self {
-        Self { fleet: Mutex::new(settings.assumed_fleet), services: Mutex::default(), settings }
+        Self {
+            fleet: Mutex::new(settings.assumed_fleet),
+            places: Mutex::default(),
+            services: Mutex::default(),
+            settings,
+        }
     }
 
     /// Returns a service, created if it is not known yet.
@@ -188,20 +195,36 @@
 
     /// Returns the backend server with an identity.
     fn find(&self, id: &LeafId) -> Option<Arc<Server>> {
-        for service in self.services() {
-            let servers = service.servers();
-            if let Ok(index) = servers.binary_search_by(|known| known.published.id.cmp(id)) {
-                return Some(Arc::clone(&servers[index]));
-            }
-        }
-        None
+        let service = {
+            let places = lock(&self.places);
+            let place = places.binary_search_by(|(known, _)| known.cmp(id)).ok()?;
+            Arc::clone(&places[place].1)
+        };
+        let servers = service.servers();
+        let index = servers.binary_search_by(|known| known.published.id.cmp(id)).ok()?;
+        Some(Arc::clone(&servers[index]))
     }
 
-    /// Adds a backend server to a service.
-    fn insert(&self, service: &Service, server: Arc<Server>) {
+    /// Adds a backend server to a service, and drops those that have left and are idle.
+    fn insert(&self, service: &Arc<Service>, server: Arc<Server>) {
+        let mut places = lock(&self.places);
         let mut servers = lock(&service.servers);
-        let mut changed = servers.as_ref().clone();
-        changed.retain(|known| known.listing() != Listing::Leaving || known.pool.open() > 0);
+        let mut changed = Vec::with_capacity(servers.len() + 1);
+        for known in servers.iter() {
+            if known.listing() != Listing::Leaving || known.pool.open() > 0 {
+                changed.push(Arc::clone(known));
+                continue;
+            }
+            let id = &known.published.id;
+            if let Ok(place) = places.binary_search_by(|(known, _)| known.cmp(id)) {
+                places.remove(place);
+            }
+        }
+        let id = &server.published.id;
+        match places.binary_search_by(|(known, _)| known.cmp(id)) {
+            Ok(place) => places[place].1 = Arc::clone(service),
+            Err(place) => places.insert(place, (id.clone(), Arc::clone(service))),
+        }
         let index = changed.partition_point(|known| known.published.id < server.published.id);
         changed.insert(index, server);
         *servers = Arc::new(changed);
--- a/crates/hawthornstand/tests/gateway_policy.rs
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -287,3 +287,27 @@
     let time = TimeBudget::start(Arc::new(SystemClock), Duration::from_secs(60));
     assert!(!time.is_spent() && time.left() > Duration::from_secs(59));
 }
+
+#[test]
+fn server_is_found_by_its_identity_in_whichever_service_it_was_last() {
+    let directory = Directory::new(settings());
+    let moved = |born_unix_ms, service: &str| PublishedServer {
+        service: service.to_string(),
+        ..server("i-1", born_unix_ms, false)
+    };
+    directory.put(moved(1, "portal"));
+    directory.put(server("i-2", 1, true));
+    directory.put(moved(2, "sync"));
+    // Adding i-3 drops i-2, which has left and is idle; then it comes back.
+    directory.put(server("i-3", 1, false));
+    assert!(directory.put(server("i-2", 2, false)));
+    directory.remove(&"i-1".to_string(), false);
+    let listings = |service: &str| -> Vec<(String, bool)> {
+        let servers = directory.service(service).servers();
+        let shown =
+            servers.iter().map(|s| (s.published.id.clone(), s.listing() == Listing::Listed));
+        shown.collect()
+    };
+    assert_eq!(listings("sync"), [("i-1".to_string(), false)]);
+    assert_eq!(listings("portal"), [("i-2".to_string(), true), ("i-3".to_string(), true)]);
+}
