--- a/crates/hawthornstand/tests/gateway_policy.rs
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -311,3 +311,12 @@
     assert_eq!(listings("sync"), [("i-1".to_string(), false)]);
     assert_eq!(listings("portal"), [("i-2".to_string(), true), ("i-3".to_string(), true)]);
 }
+
+#[test]
+fn leaving_server_gets_no_new_requests() {
+    let directory = Directory::new(settings());
+    directory.put(server("i-1", 1, false));
+    assert_eq!(standing(&directory, Instant::now()), Some(Standing::Usable));
+    directory.put(server("i-1", 1, true));
+    assert_eq!(standing(&directory, Instant::now()), Some(Standing::Unusable));
+}
