--- a/crates/hawthornstand/tests/lone_runs.rs
+++ b/crates/hawthornstand/tests/lone_runs.rs
@@ -10,11 +10,18 @@
 use hawthornstand::backends::leaf::Leaf;
 use hawthornstand::messages::{LeafSearch, LoneVerdict};
 use hawthornstand::policy::lone_run;
+use rstest::rstest;
 use support::{answer, context};
 use tokio::time::Instant;
 
+#[rstest]
+#[case::poison_first(["poison", "harmless"], [LoneVerdict::Quarantined, LoneVerdict::Cleared])]
+#[case::poison_second(["harmless", "poison"], [LoneVerdict::Cleared, LoneVerdict::Quarantined])]
 #[tokio::test(start_paused = true)]
-async fn suspect_beside_a_poison_request_is_cleared() {
+async fn suspect_beside_a_poison_request_is_cleared(
+    #[case] queries: [&str; 2],
+    #[case] verdicts: [LoneVerdict; 2],
+) {
     let crashed = Mutex::new(BTreeSet::new());
     let script = move |leaf: &Leaf, search: &LeafSearch| {
         let mut crashed = crashed.lock().unwrap();
@@ -27,12 +34,12 @@
     };
     let (context, _) = context(1, 2, &[1], "", Box::new(script));
     let deadline = Instant::now() + Duration::from_secs(5);
-    for query in ["poison", "harmless"] {
+    for query in queries {
         context.note_suspect("roster", query);
     }
-    let (poison, harmless) = tokio::join!(
-        lone_run::clear(&context, "roster", "poison", deadline),
-        lone_run::clear(&context, "roster", "harmless", deadline),
+    let (first, second) = tokio::join!(
+        lone_run::clear(&context, "roster", queries[0], deadline),
+        lone_run::clear(&context, "roster", queries[1], deadline),
     );
-    assert_eq!((poison, harmless), (LoneVerdict::Quarantined, LoneVerdict::Cleared));
+    assert_eq!([first, second], verdicts);
 }
