--- a/crates/hawthornstand/src/bookings/booking_run.rs
+++ b/crates/hawthornstand/src/bookings/booking_run.rs
@@ -46,7 +46,7 @@
 
     /// Returns the fingerprint that ties a ticket to its request.
     pub fn fingerprint(&self) -> Fingerprint {
-        fingerprint(&self.service, &self.body())
+        fingerprint(&self.service, self.body())
     }
 }
 
--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -18,6 +18,7 @@
 use crate::gateway::speech::{AnswerKind, Speech};
 use crate::gateway::telemetry::Telemetry;
 use crate::gateway::time_budget::TimeBudget;
+use crate::ids::id_text;
 
 /// Shortest time before a hedge that could not be sent is considered again.
 const HEDGE_RECHECK: Duration = Duration::from_millis(10);
@@ -291,7 +292,7 @@
     /// Logs a decision about the request.
     fn log(&self, decision: &str, server: &str) {
         log::info!(
-            request = String::from_utf8_lossy(&self.request.request_id).as_ref(),
+            request = id_text(&self.request.request_id).as_ref(),
             service = self.service.name.as_str(),
             server = server,
             sent = self.sent,
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -10,7 +10,6 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::error::{ErrorKind, Failure};
 use crate::gateway::attempts::Means;
@@ -23,7 +22,7 @@
 use crate::gateway::time_budget::TimeBudget;
 use crate::gateway::trail::Trail;
 use crate::gateway::{forward, scatter, status};
-use crate::ids::Fingerprint;
+use crate::ids::{self, Fingerprint, id_text};
 use crate::messages::Outcome;
 use crate::process::clock::Clock;
 use crate::process::http_server::HttpLimits;
@@ -173,7 +172,7 @@
                 if !gathered.missing.is_empty() {
                     self.means.telemetry.partial_answers.inc();
                     log::info!(
-                        request = String::from_utf8_lossy(&request.request_id).as_ref(),
+                        request = id_text(&request.request_id).as_ref(),
                         missing = gathered.missing.join(","),
                         waited_ms = time.spent().as_millis() as u64,
                         goal_ms = route.goal.as_millis() as u64;
@@ -225,7 +224,7 @@
     /// Writes the answer that the kind of failure has in the table, and logs the decision.
     fn respond(self, time: &TimeBudget) -> Response<Full<Bytes>> {
         log::info!(
-            request = String::from_utf8_lossy(&self.request_id).as_ref(),
+            request = id_text(&self.request_id).as_ref(),
             status = self.failure.status(),
             not_run = self.failure.outcome == Outcome::NotRun,
             waited_ms = time.spent().as_millis() as u64;
@@ -251,7 +250,7 @@
         return;
     }
     log::info!(
-        request = String::from_utf8_lossy(&request.request_id).as_ref(),
+        request = id_text(&request.request_id).as_ref(),
         waited_ms = waited.as_millis() as u64,
         goal_ms = route.goal.as_millis() as u64;
         "answered late"
@@ -260,14 +259,7 @@
 
 /// Hashes what makes two requests the same, whichever VM gets them.
 fn fingerprint(host: &str, request: &Outbound) -> Fingerprint {
-    let mut hasher = Xxh3::new();
-    let uri = request.uri.to_string();
-    for part in [host.as_bytes(), request.method.as_str().as_bytes(), uri.as_bytes()] {
-        hasher.update(part);
-        hasher.update(&[0]);
-    }
-    hasher.update(&request.body);
-    hasher.digest()
+    ids::fingerprint(&format!("{host}\0{}\0{}", request.method, request.uri), &request.body)
 }
 
 /// Reads the whole body of a request.
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -5,12 +5,12 @@
 
 use tokio::time::Instant;
 
-use crate::gateway::estimate::UsualWork;
 use crate::gateway::listing::{self, Listing};
 use crate::gateway::model::{PublishedServer, PublishedService};
 use crate::gateway::pool::Pool;
 use crate::gateway::server::{Proximity, Server};
 use crate::gateway::settings::{GatewaySettings, Place};
+use crate::gateway::usual_work::UsualWork;
 use crate::ids::{LeafId, ServiceName};
 use crate::locks::lock;
 use crate::policy::budget::Budget;
--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -1,14 +1,11 @@
 //! Estimates the time of an answer from the last ones, as TCP estimates round trips (RFC 6298).
 
-use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::locks::lock;
-
 /// Weight of a new sample in the mean (alpha of RFC 6298).
-const MEAN_WEIGHT: f64 = 1.0 / 8.0;
+pub const MEAN_WEIGHT: f64 = 1.0 / 8.0;
 /// Weight of a new sample in the mean deviation (beta of RFC 6298).
 const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
 /// Deviations above the mean at which an answer counts as overdue (K of RFC 6298).
@@ -18,55 +15,6 @@
 /// Shortest time after which an answer counts as overdue: below it the scheduling of a busy VM shows.
 const MIN_OVERDUE: Duration = Duration::from_millis(12);
 
-/// Time of a request at a backend server before any was measured and where no goal is known: a short request.
-const SHORT_WORK: Duration = Duration::from_millis(10);
-/// Part of a route's goal that its requests are expected to take at a backend server before any was measured.
-const WORK_SHARE_OF_GOAL: u32 = 8;
-
-/// Usual time of a request at the backend servers of a service, without the way there.
-///
-/// A backend server that has not answered yet, or not for long, is expected to be like the others.
-#[derive(Default)]
-pub struct UsualWork(Mutex<Option<UsualTime>>);
-
-#[derive(Clone, Copy)]
-enum UsualTime {
-    FromGoal(Duration),
-    Measured(Duration),
-}
-
-impl UsualWork {
-    /// Takes over the goal of a route to the service; the shortest counts until a time was measured.
-    pub fn expect_within(&self, goal: Duration) {
-        let mut usual = lock(&self.0);
-        let work = goal / WORK_SHARE_OF_GOAL;
-        *usual = match *usual {
-            None => Some(UsualTime::FromGoal(work)),
-            Some(UsualTime::FromGoal(known)) => Some(UsualTime::FromGoal(known.min(work))),
-            measured => measured,
-        };
-    }
-
-    /// Adds the time of an answer, without the way there.
-    pub fn observe(&self, work: Duration) {
-        let mut usual = lock(&self.0);
-        *usual = Some(UsualTime::Measured(match *usual {
-            Some(UsualTime::Measured(known)) => {
-                known.mul_f64(1.0 - MEAN_WEIGHT) + work.mul_f64(MEAN_WEIGHT)
-            }
-            _ => work,
-        }));
-    }
-
-    /// Returns the usual time.
-    pub fn get(&self) -> Duration {
-        match *lock(&self.0) {
-            None => SHORT_WORK,
-            Some(UsualTime::FromGoal(work) | UsualTime::Measured(work)) => work,
-        }
-    }
-}
-
 /// Mean and mean deviation of the time of an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -34,3 +34,4 @@
 pub mod time_budget;
 pub mod top_records;
 pub mod trail;
+pub mod usual_work;
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -7,10 +7,11 @@
 
 use crate::derives::value_types;
 use crate::gateway::choice::{Candidate, Standing};
-use crate::gateway::estimate::{Estimate, UsualWork};
+use crate::gateway::estimate::Estimate;
 use crate::gateway::listing::Listing;
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::{ConnectError, Connection, Pool};
+use crate::gateway::usual_work::UsualWork;
 use crate::locks::lock;
 
 /// Weight of one answer in the failure rate.
--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -63,13 +63,10 @@
             continue;
         }
         let after = known;
+        telemetry.store_reads.inc();
         let read = match after {
-            None => {
-                telemetry.store_reads.inc();
-                store.list().await
-            }
+            None => store.list().await,
             Some(revision) => {
-                telemetry.store_reads.inc();
                 let wait = if on_trial { TRIAL_WAIT } else { duty.watch_wait() };
                 watch(&state, &*store, revision, wait).await
             }
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -42,73 +42,43 @@
     /// Creates metrics that are all zero.
     pub fn new(log_losses: LogLosses) -> Self {
         let mut registry = Registry::with_prefix("hawthornstand");
-        let budget_denials = Counter::default();
-        let crash_refusals = Counter::default();
-        let hedges = Counter::default();
-        let log_lines_dropped = Counter::default();
-        let malformed = Counter::default();
-        let partial_answers = Counter::default();
-        let probes = Counter::default();
         let requests = Family::default();
-        let retries = Counter::default();
+        registry.register("requests", "Requests by outcome", requests.clone());
         let seconds = Histogram::new(REQUEST_BUCKETS_S);
-        let silences = Counter::default();
-        let store_reads = Counter::default();
-        registry.register(
-            "budget_denials",
-            "Extra attempts that the budget did not allow",
-            budget_denials.clone(),
-        );
-        registry.register(
-            "crash_refusals",
-            "Requests refused because they crash backend servers",
-            crash_refusals.clone(),
-        );
-        registry.register(
-            "log_lines_dropped",
-            "Log lines for which the reader was too slow",
-            log_lines_dropped.clone(),
-        );
+        registry.register("request_seconds", "Time from request to answer", seconds.clone());
         registry.register(
             "log_lines_left_out",
             "Log lines that were one too many of their kind",
             log_losses.left_out.clone(),
         );
-        registry.register(
-            "partial_answers",
-            "Searches answered without some shards",
-            partial_answers.clone(),
-        );
-        registry.register("hedges", "Second attempts sent while the first ran", hedges.clone());
-        registry.register(
-            "malformed_values",
-            "Published values that could not be read",
-            malformed.clone(),
-        );
-        registry.register("probes", "Health probes sent", probes.clone());
-        registry.register("requests", "Requests by outcome", requests.clone());
-        registry.register("retries", "Attempts sent after one that failed", retries.clone());
-        registry.register("request_seconds", "Time from request to answer", seconds.clone());
-        registry.register(
-            "silences",
-            "Times a backend server owed an answer for too long",
-            silences.clone(),
-        );
-        registry.register("store_reads", "Reads of the store", store_reads.clone());
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
         Self {
-            budget_denials,
-            crash_refusals,
-            hedges,
-            log_lines_dropped,
+            budget_denials: counter(
+                "budget_denials",
+                "Extra attempts that the budget did not allow",
+            ),
+            crash_refusals: counter(
+                "crash_refusals",
+                "Requests refused because they crash backend servers",
+            ),
+            hedges: counter("hedges", "Second attempts sent while the first ran"),
+            log_lines_dropped: counter(
+                "log_lines_dropped",
+                "Log lines for which the reader was too slow",
+            ),
             log_losses,
-            malformed,
-            partial_answers,
-            probes,
+            malformed: counter("malformed_values", "Published values that could not be read"),
+            partial_answers: counter("partial_answers", "Searches answered without some shards"),
+            probes: counter("probes", "Health probes sent"),
             requests,
-            retries,
+            retries: counter("retries", "Attempts sent after one that failed"),
             seconds,
-            silences,
-            store_reads,
+            silences: counter("silences", "Times a backend server owed an answer for too long"),
+            store_reads: counter("store_reads", "Reads of the store"),
             registry,
         }
     }
--- a/crates/hawthornstand/src/gateway/trail.rs
+++ b/crates/hawthornstand/src/gateway/trail.rs
@@ -10,7 +10,7 @@
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::ConnectError;
 use crate::gateway::server::Server;
-use crate::ids::Fingerprint;
+use crate::ids::{Fingerprint, id_text};
 use crate::locks::lock;
 
 /// Notes of all attempts of a request, at all shards.
@@ -48,7 +48,7 @@
                 return;
             }
             log::info!(
-                request = String::from_utf8_lossy(&request_id).as_ref(),
+                request = id_text(&request_id).as_ref(),
                 fingerprint = fingerprint,
                 lost = processes.len();
                 "backend servers were lost while the request ran"
--- a/crates/hawthornstand/tests/gateway_load.rs
+++ b/crates/hawthornstand/tests/gateway_load.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use hawthornstand::gateway::choice;
-use hawthornstand::gateway::estimate::UsualWork;
 use hawthornstand::gateway::model::PublishedServer;
 use hawthornstand::gateway::pool::Pool;
 use hawthornstand::gateway::server::{Proximity, Server};
+use hawthornstand::gateway::usual_work::UsualWork;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
