A suspect whose judge has stopped is judged where it is asked for

A backend server resets a connection beyond its limit while VMs are replaced, the searches on it become suspects, and the VM that has to judge them is the one that is being stopped: no verdict, so they are refused as undecided. Change: where the owner of a suspicion is out of reach, the VM that asks for the verdict judges. Before: lone_runs.rs, suspect_whose_judge_has_stopped_is_judged_here, fails with Undecided on the code before. After: passes.

--- a/crates/hawthornstand/src/policy/lone_run.rs
+++ b/crates/hawthornstand/src/policy/lone_run.rs
@@ -17,21 +17,9 @@
 use crate::searches::planner::plan;
 use crate::searches::relay::relays;
 
-/// Clears a suspect through the VM that owns it.
-pub async fn clear_through(
-    context: &Arc<Context>,
-    owner: &VmId,
-    service: &str,
-    query: &str,
-    deadline: Instant,
-) -> LoneVerdict {
-    if *owner == context.identity.vm_id {
-        return clear(context, service, query, deadline).await;
-    }
-    ask(context, owner, service, query, deadline, false).await
-}
-
-/// Runs a suspect alone; one run of a request at a time, and none once its standing is settled.
+/// Returns the verdict on a suspect; its owner judges it, or this VM where the owner is out of reach.
+///
+/// One run of a request at a time, and none once its standing is settled.
 pub async fn clear(
     context: &Arc<Context>,
     service: &str,
@@ -42,21 +30,32 @@
     let Some(lock) = context.quarantine.lone_run_lock(fingerprint) else {
         return LoneVerdict::Cleared;
     };
-    let Ok(guard) = tokio::time::timeout_at(deadline, lock.lock()).await else {
-        return LoneVerdict::Undecided;
-    };
-    match context.quarantine.standing(fingerprint, Instant::now()) {
-        Standing::Clear => return LoneVerdict::Cleared,
-        Standing::Quarantined { .. } => return LoneVerdict::Quarantined,
-        Standing::Suspect { owner } if owner != context.identity.vm_id => {
-            drop(guard);
-            return ask(context, &owner, service, query, deadline, false).await;
+    let mut out_of_reach: Option<VmId> = None;
+    loop {
+        let Ok(guard) = tokio::time::timeout_at(deadline, lock.lock()).await else {
+            return LoneVerdict::Undecided;
+        };
+        match context.quarantine.standing(fingerprint, Instant::now()) {
+            Standing::Clear => return LoneVerdict::Cleared,
+            Standing::Quarantined { .. } => return LoneVerdict::Quarantined,
+            Standing::Suspect { owner }
+                if owner != context.identity.vm_id && out_of_reach.as_ref() != Some(&owner) =>
+            {
+                // Asking with the lock held would let two VMs wait for each other.
+                drop(guard);
+                if let Some(verdict) = ask(context, &owner, service, query, deadline, false).await {
+                    return verdict;
+                }
+                log::info!("VM {owner} is out of reach; request {fingerprint:016x} is judged here");
+                out_of_reach = Some(owner);
+            }
+            Standing::Suspect { .. } => {
+                let verdict = run_alone(context, service, query, deadline).await;
+                settle(context, service, fingerprint, verdict);
+                return verdict;
+            }
         }
-        Standing::Suspect { .. } => {}
     }
-    let verdict = run_alone(context, service, query, deadline).await;
-    settle(context, service, fingerprint, verdict);
-    verdict
 }
 
 /// Takes over a verdict and spreads it.
@@ -97,8 +96,9 @@
         return run_here(context, &plan, query, deadline).await;
     }
     for block in &plan.blocks {
-        if let Some(relay) = relays(context, block.block).first() {
-            return ask(context, relay, service, query, deadline, true).await;
+        let Some(relay) = relays(context, block.block).into_iter().next() else { continue };
+        if let Some(verdict) = ask(context, &relay, service, query, deadline, true).await {
+            return verdict;
         }
     }
     LoneVerdict::Undecided
@@ -168,7 +168,7 @@
     places
 }
 
-/// Asks another VM for the verdict.
+/// Asks another VM for the verdict; none if it cannot be asked or does not answer.
 async fn ask(
     context: &Arc<Context>,
     vm: &VmId,
@@ -176,7 +176,7 @@
     query: &str,
     deadline: Instant,
     direct: bool,
-) -> LoneVerdict {
+) -> Option<LoneVerdict> {
     let remaining = deadline.saturating_duration_since(Instant::now());
     let request = PeerRequest::LoneRun(LoneRun {
         deadline_unix_ms: context.clock.unix_ms() + remaining.as_millis() as u64,
@@ -185,8 +185,12 @@
         service: service.to_string(),
     });
     match context.peers.request(&context.config.list(), vm, request, deadline).await {
-        Ok(PeerResponse::Lone(verdict)) => verdict,
-        _ => LoneVerdict::Undecided,
+        Ok(PeerResponse::Lone(verdict)) => Some(verdict),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!("VM {vm} gives no verdict: {error}");
+            None
+        }
     }
 }
 
--- a/crates/hawthornstand/src/searches/search.rs
+++ b/crates/hawthornstand/src/searches/search.rs
@@ -193,16 +193,9 @@
     match context.quarantine.standing(fingerprint, Instant::now()) {
         Standing::Clear => Ok(()),
         Standing::Quarantined { retry_after } => Err(quarantined(retry_after)),
-        Standing::Suspect { owner } => {
-            match lone_run::clear_through(
-                context,
-                &owner,
-                &search.service,
-                &search.request.query,
-                deadline,
-            )
-            .await
-            {
+        Standing::Suspect { .. } => {
+            let (service, query) = (&search.service, &search.request.query);
+            match lone_run::clear(context, service, query, deadline).await {
                 LoneVerdict::Cleared => Ok(()),
                 LoneVerdict::Quarantined => Err(quarantined(Duration::from_millis(
                     context.settings.quarantine.quarantine_ms,
--- a/crates/hawthornstand/tests/lone_runs.rs
+++ b/crates/hawthornstand/tests/lone_runs.rs
@@ -8,8 +8,10 @@
 
 use hawthornstand::backends::backend::CallError;
 use hawthornstand::backends::leaf::Leaf;
+use hawthornstand::ids::fingerprint;
 use hawthornstand::messages::{LeafSearch, LoneVerdict};
 use hawthornstand::policy::lone_run;
+use hawthornstand::policy::quarantine::Standing;
 use rstest::rstest;
 use support::{answer, context};
 use tokio::time::Instant;
@@ -43,3 +45,16 @@
     );
     assert_eq!([first, second], verdicts);
 }
+
+#[tokio::test(start_paused = true)]
+async fn suspect_whose_judge_has_stopped_is_judged_here() {
+    let script = |_: &Leaf, search: &LeafSearch| (Duration::from_millis(10), Ok(answer(search)));
+    let (context, _) = context(1, 2, &[1], "", Box::new(script));
+    let now = Instant::now();
+    let stopped = "entry-stopped".to_string();
+    let suspect = fingerprint("roster", "waiter");
+    context.quarantine.suspect(suspect, &stopped, Duration::from_secs(30), now);
+    let verdict = lone_run::clear(&context, "roster", "waiter", now + Duration::from_secs(5)).await;
+    assert_eq!(verdict, LoneVerdict::Cleared);
+    assert_eq!(context.quarantine.standing(suspect, Instant::now()), Standing::Clear);
+}
