--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -12,7 +12,8 @@
 use crate::gateway::attempts::Means;
 use crate::gateway::callers::{self, Callers};
 use crate::gateway::culprits::Culprits;
-use crate::gateway::peer_link::{self, Peers};
+use crate::gateway::peer_link;
+use crate::gateway::peers::Peers;
 use crate::gateway::probes;
 use crate::gateway::reload::{Reload, SettingsSource};
 use crate::gateway::settings::GatewaySettings;
@@ -61,7 +62,9 @@
     tokio::spawn(probes::run(Arc::clone(&state), means, TimerService, in_force.clone()));
     if let Some(address) = settings.peer_address {
         let listener = TcpListener::bind(address).await?;
-        let peers = Arc::new(Peers::new(address, &settings.seeds, culprits, Arc::clone(&state)));
+        let link_bytes = telemetry.link_bytes.clone();
+        let peers =
+            Arc::new(Peers::new(address, &settings, culprits, Arc::clone(&state), link_bytes));
         tokio::spawn(peer_link::serve(Arc::clone(&peers), listener));
         tokio::spawn(peer_link::run(Arc::clone(&peers), in_force.clone()));
         duty = peers;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -1,11 +1,10 @@
 //! Links between VMs: news of the published state, and who else is there.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -13,15 +12,12 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::derives::value_types;
-use crate::gateway::culprits::{Crashes, Culprits};
-use crate::gateway::items::Update;
-use crate::gateway::readers;
+use crate::gateway::peer_messages::PeerMessage;
+use crate::gateway::peers::Peers;
+use crate::gateway::pulls::Step;
+use crate::gateway::server::Proximity;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::state::State;
-use crate::gateway::store_watch::ReadDuty;
-use crate::ids::Revision;
-use crate::locks::lock;
+use crate::ids::{LinkId, Revision};
 
 /// Links that each VM opens.
 const LINKS: usize = 3;
@@ -29,8 +25,6 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two messages on a link that has no news.
 const IDLE_PING: Duration = Duration::from_secs(2);
-/// Time for which news waits for the other VM to get it from the store itself.
-const NEWS_DELAY: Duration = Duration::from_millis(300);
 /// Time over which newly known VMs are gathered into one message.
 const KNOWN_DELAY: Duration = Duration::from_secs(1);
 /// Silence after which a link counts as lost.
@@ -38,112 +32,6 @@
 /// Time between two attempts to open a link.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
-value_types! {
-    /// Message on a link.
-    #[derive(Serialize, Deserialize)]
-    pub enum PeerMessage {
-        /// Backend servers were lost while they ran a request.
-        Crashed { crashes: Crashes },
-        /// First message in both directions.
-        Hello { address: SocketAddr, as_of: Revision, known: Vec<SocketAddr> },
-        /// VMs that the receiver may not know.
-        Known { known: Vec<SocketAddr> },
-        News { update: Update },
-        /// What the sender knows, how long ago the store confirmed it, and whether it reads the store.
-        Ping { age_ms: Option<u64>, as_of: Revision, reads: bool },
-    }
-}
-
-/// VMs that were heard of.
-pub struct Peers {
-    culprits: Arc<Culprits>,
-    known: watch::Sender<Vec<SocketAddr>>,
-    linked: Mutex<Vec<SocketAddr>>,
-    own: SocketAddr,
-    state: Arc<State>,
-}
-
-impl Peers {
-    /// Creates the list of VMs with those that the settings name.
-    pub fn new(
-        own: SocketAddr,
-        seeds: &[SocketAddr],
-        culprits: Arc<Culprits>,
-        state: Arc<State>,
-    ) -> Self {
-        let known = watch::Sender::new(Vec::new());
-        let peers = Self { culprits, known, linked: Mutex::default(), own, state };
-        peers.learn(seeds);
-        peers
-    }
-
-    /// Adds VMs.
-    fn learn(&self, addresses: &[SocketAddr]) {
-        self.known.send_if_modified(|known| {
-            let before = known.len();
-            for address in addresses {
-                if *address == self.own {
-                    continue;
-                }
-                if let Err(index) = known.binary_search(address) {
-                    known.insert(index, *address);
-                }
-            }
-            known.len() > before
-        });
-    }
-
-    /// Takes over what the first message on a link says of the fleet.
-    fn greet(&self, address: SocketAddr, known: &[SocketAddr]) {
-        self.learn(&[address]);
-        self.learn(known);
-        let fleet = self.known.borrow().len() + 1;
-        if fleet != self.state.directory.fleet() {
-            self.state.directory.set_fleet(fleet);
-        }
-    }
-
-    /// Returns a VM to open a link to.
-    fn next(&self) -> Option<SocketAddr> {
-        let mut linked = lock(&self.linked);
-        let known = self.known.borrow();
-        let free: Vec<SocketAddr> =
-            known.iter().filter(|address| !linked.contains(address)).copied().collect();
-        if free.is_empty() {
-            return None;
-        }
-        let address = free[rand::random_range(0..free.len())];
-        linked.push(address);
-        Some(address)
-    }
-
-    /// Notes that a link has ended.
-    fn unlink(&self, address: SocketAddr) {
-        lock(&self.linked).retain(|linked| *linked != address);
-    }
-}
-
-impl ReadDuty for Peers {
-    fn reads(&self) -> bool {
-        readers::reads(self.own, &self.known.borrow(), self.state.age_of_knowledge())
-    }
-
-    fn watch_wait(&self) -> Duration {
-        readers::watch_wait(self.known.borrow().len() + 1)
-    }
-}
-
-impl Peers {
-    /// Returns what this VM knows and how fresh it is.
-    fn ping(&self) -> PeerMessage {
-        PeerMessage::Ping {
-            age_ms: self.state.age_of_knowledge().map(|age| age.as_millis() as u64),
-            as_of: self.state.as_of(),
-            reads: self.reads(),
-        }
-    }
-}
-
 /// Accepts links from other VMs.
 pub async fn serve(peers: Arc<Peers>, listener: TcpListener) {
     loop {
@@ -159,7 +47,10 @@
         tokio::spawn(async move {
             match tokio::time::timeout(OPEN_TIMEOUT, tokio_tungstenite::accept_async(stream)).await
             {
-                Ok(Ok(socket)) => drop(talk(&peers, socket).await),
+                Ok(Ok(socket)) => {
+                    let reason = talk(&peers, socket).await;
+                    log::debug!("link ended: {reason}");
+                }
                 Ok(Err(error)) => log::debug!("link refused: {error}"),
                 Err(_) => log::debug!("link not opened in time"),
             }
@@ -207,121 +98,160 @@
 }
 
 /// Exchanges news on a link until it ends; returns why it ended.
-async fn talk<S>(peers: &Peers, mut socket: WebSocketStream<S>) -> String
+async fn talk<S>(peers: &Peers, socket: WebSocketStream<S>) -> String
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let mut news = peers.state.news();
-    let mut known = peers.known.subscribe();
-    let mut crashed = peers.culprits.news();
-    let hello = PeerMessage::Hello {
-        address: peers.own,
-        as_of: peers.state.as_of(),
-        known: known.borrow_and_update().clone(),
+    let id = peers.number_link();
+    let mut link = Link {
+        id,
+        known_due: None,
+        last_heard: Instant::now(),
+        peers,
+        proximity: Proximity::OtherRegion,
+        socket,
+        told: 0,
+        told_known: Vec::new(),
     };
-    if let Err(error) = send(&mut socket, &hello).await {
-        return error;
-    }
-    for crashes in peers.culprits.known() {
-        if let Err(error) = send(&mut socket, &PeerMessage::Crashed { crashes }).await {
-            return error;
+    let reason = match link.converse().await {
+        Ok(()) => "closed by the other VM".to_string(),
+        Err(reason) => reason,
+    };
+    peers.pulls.withdraw(id);
+    reason
+}
+
+/// One link to another VM.
+struct Link<'a, S> {
+    id: LinkId,
+    /// When newly known VMs are told.
+    known_due: Option<Instant>,
+    last_heard: Instant,
+    peers: &'a Peers,
+    proximity: Proximity,
+    socket: WebSocketStream<S>,
+    /// Revision that the other VM was told of.
+    told: Revision,
+    /// VMs that the other VM was told of, or told.
+    told_known: Vec<SocketAddr>,
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Link<'_, S> {
+    /// Exchanges messages until the link is closed.
+    async fn converse(&mut self) -> Result<(), String> {
+        let mut news = self.peers.state.news();
+        let mut known = self.peers.known.subscribe();
+        let mut crashed = self.peers.culprits.news();
+        self.told_known = known.borrow_and_update().clone();
+        self.told = self.peers.state.as_of();
+        self.send(&PeerMessage::Hello {
+            address: self.peers.own,
+            as_of: self.told,
+            failure_domain: self.peers.place.failure_domain.clone(),
+            known: self.told_known.clone(),
+        })
+        .await?;
+        for crashes in self.peers.culprits.known() {
+            self.send(&PeerMessage::Crashed { crashes }).await?;
         }
-    }
-    // The revision that the other side is known to have; none before its first message.
-    let mut theirs: Option<Revision> = None;
-    let mut last_heard = Instant::now();
-    let mut known_due: Option<Instant> = None;
-    let mut news_due: Option<Instant> = None;
-    let mut they_read = true;
-    let mut told = 0;
-    loop {
-        let ours = peers.state.as_of();
-        let lag = theirs.filter(|revision| *revision < ours);
-        match lag {
-            None => news_due = None,
-            Some(revision) if news_due.is_some_and(|due| due <= Instant::now()) => {
-                let update = peers.state.since(revision);
-                theirs = Some(ours);
-                news_due = None;
-                if let Err(error) = send(&mut socket, &PeerMessage::News { update }).await {
-                    return error;
+        loop {
+            let look_at = self.tell_and_ask().await?;
+            let due = [look_at, self.known_due].into_iter().flatten().min();
+            let wake = due.unwrap_or_else(|| Instant::now() + IDLE_PING);
+            let silence = self.last_heard + SILENCE_LIMIT;
+            tokio::select! {
+                message = tokio::time::timeout_at(silence, self.socket.next()) => match message {
+                    Ok(Some(Ok(message))) => self.receive(message).await?,
+                    Ok(Some(Err(error))) => return Err(error.to_string()),
+                    Ok(None) => return Ok(()),
+                    Err(_) => return Err("silent for too long".to_string()),
+                },
+                _ = news.changed() => {}
+                crashes = crashed.recv() => match crashes {
+                    Ok(crashes) => self.send(&PeerMessage::Crashed { crashes }).await?,
+                    Err(error) => log::warn!("crashes not told to a VM: {error}"),
+                },
+                _ = known.changed() => {
+                    known.borrow_and_update();
+                    self.known_due.get_or_insert(Instant::now() + KNOWN_DELAY);
                 }
-            }
-            Some(_) => {
-                let delay = if they_read { NEWS_DELAY } else { Duration::ZERO };
-                news_due.get_or_insert(Instant::now() + delay);
+                () = tokio::time::sleep_until(wake) => if due.is_none() {
+                    let ping = self.peers.ping();
+                    self.send(&ping).await?;
+                },
             }
         }
-        if ours > told {
-            told = ours;
-            if let Err(error) = send(&mut socket, &peers.ping()).await {
-                return error;
-            }
+    }
+
+    /// Tells what is new here and asks for what is new there; returns when to look again.
+    async fn tell_and_ask(&mut self) -> Result<Option<Instant>, String> {
+        let now = Instant::now();
+        let own = self.peers.state.as_of();
+        if own > self.told {
+            self.told = own;
+            let ping = self.peers.ping();
+            self.send(&ping).await?;
         }
-        if known_due.is_some_and(|due| due <= Instant::now()) {
-            known_due = None;
-            let message = PeerMessage::Known { known: known.borrow().clone() };
-            if let Err(error) = send(&mut socket, &message).await {
-                return error;
-            }
+        if self.known_due.is_some_and(|due| due <= now) {
+            self.known_due = None;
+            self.tell_known().await?;
         }
-        let due = [news_due, known_due].into_iter().flatten().min();
-        let wake = due.unwrap_or_else(|| Instant::now() + IDLE_PING);
-        let message = tokio::select! {
-            message = tokio::time::timeout_at(last_heard + SILENCE_LIMIT, socket.next()) => message,
-            _ = news.changed() => continue,
-            crashes = crashed.recv() => {
-                let crashes = match crashes {
-                    Ok(crashes) => crashes,
-                    Err(error) => {
-                        log::warn!("crashes not told to a VM: {error}");
-                        continue;
-                    }
-                };
-                match send(&mut socket, &PeerMessage::Crashed { crashes }).await {
-                    Ok(()) => continue,
-                    Err(error) => return error,
-                }
-            }
-            _ = known.changed() => {
-                known.borrow_and_update();
-                known_due.get_or_insert(Instant::now() + KNOWN_DELAY);
-                continue;
-            }
-            () = tokio::time::sleep_until(wake) => {
-                if due.is_some() {
-                    continue;
-                }
-                match send(&mut socket, &peers.ping()).await {
-                    Ok(()) => continue,
-                    Err(error) => return error,
-                }
+        match self.peers.pulls.step(self.id, own, self.peers.patience(), now) {
+            Step::Ask => {
+                self.send(&PeerMessage::Pull { after: own }).await?;
+                Ok(None)
             }
-        };
-        last_heard = Instant::now();
-        let bytes = match message {
-            Ok(Some(Ok(Message::Binary(bytes)))) => bytes,
-            Ok(Some(Ok(_))) => continue,
-            Ok(Some(Err(error))) => return error.to_string(),
-            Ok(None) => return "closed by the other VM".to_string(),
-            Err(_) => return "silent for too long".to_string(),
-        };
-        match ciborium::from_reader(bytes.as_ref()) {
-            Ok(PeerMessage::Crashed { crashes }) => {
+            Step::Idle => Ok(None),
+            Step::LookAt(at) => Ok(Some(at)),
+        }
+    }
+
+    /// Tells of VMs that the other one may not know.
+    async fn tell_known(&mut self) -> Result<(), String> {
+        let mut fresh = self.peers.known.borrow().clone();
+        fresh.retain(|address| self.told_known.binary_search(address).is_err());
+        if fresh.is_empty() {
+            return Ok(());
+        }
+        self.note_told(&fresh);
+        self.send(&PeerMessage::Known { known: fresh }).await
+    }
+
+    /// Notes that the other VM knows of others.
+    fn note_told(&mut self, known: &[SocketAddr]) {
+        self.told_known.extend_from_slice(known);
+        self.told_known.sort_unstable();
+        self.told_known.dedup();
+    }
+
+    /// Takes over a message.
+    async fn receive(&mut self, message: Message) -> Result<(), String> {
+        self.last_heard = Instant::now();
+        let Message::Binary(bytes) = message else { return Ok(()) };
+        let message: PeerMessage = ciborium::from_reader(bytes.as_ref())
+            .map_err(|error| format!("unreadable message: {error}"))?;
+        let peers = self.peers;
+        match message {
+            PeerMessage::Crashed { crashes } => {
                 peers.culprits.record(&crashes, Instant::now());
             }
-            Ok(PeerMessage::Hello { address, as_of, known }) => {
+            PeerMessage::Hello { address, as_of, failure_domain, known } => {
+                self.proximity = peers.place.proximity(&failure_domain);
                 peers.greet(address, &known);
-                theirs = Some(as_of);
+                self.note_told(&[address]);
+                self.note_told(&known);
+                peers.pulls.offer(self.id, self.proximity, as_of);
+            }
+            PeerMessage::Known { known } => {
+                self.note_told(&known);
+                peers.greet(peers.own, &known);
             }
-            Ok(PeerMessage::Known { known }) => peers.greet(peers.own, &known),
-            Ok(PeerMessage::News { update }) => {
-                theirs = theirs.map(|revision| revision.max(update.as_of));
+            PeerMessage::News { update } => {
+                peers.pulls.answered(self.id, Instant::now());
                 peers.state.take_over(&update, "peer");
             }
-            Ok(PeerMessage::Ping { age_ms, as_of, reads }) => {
-                theirs = theirs.map(|revision| revision.max(as_of));
-                they_read = reads;
+            PeerMessage::Ping { age_ms, as_of } => {
+                peers.pulls.offer(self.id, self.proximity, as_of);
                 // An age tells of this VM's own knowledge only where it knows as much.
                 if let Some(age_ms) = age_ms
                     && as_of <= peers.state.as_of()
@@ -329,17 +259,19 @@
                     peers.state.confirm(Duration::from_millis(age_ms));
                 }
             }
-            Err(error) => return format!("unreadable message: {error}"),
+            PeerMessage::Pull { after } => {
+                let update = peers.state.since(after);
+                self.send(&PeerMessage::News { update }).await?;
+            }
         }
+        Ok(())
     }
-}
 
-/// Sends a message.
-async fn send<S>(socket: &mut WebSocketStream<S>, message: &PeerMessage) -> Result<(), String>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-{
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes).map_err(|error| error.to_string())?;
-    socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())
+    /// Sends a message.
+    async fn send(&mut self, message: &PeerMessage) -> Result<(), String> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(message, &mut bytes).map_err(|error| error.to_string())?;
+        self.peers.note_sent(bytes.len());
+        self.socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())
+    }
 }
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -26,6 +26,7 @@
     pub crash_refusals: Counter,
     pub departures: Counter,
     pub hedges: Counter,
+    pub link_bytes: Counter,
     log_lines_dropped: Counter,
     log_losses: LogLosses,
     pub malformed: Counter,
@@ -69,6 +70,7 @@
             ),
             departures: counter("departures", "Callers that left before their answer"),
             hedges: counter("hedges", "Second attempts sent while the first ran"),
+            link_bytes: counter("link_bytes", "Bytes of messages sent to other VMs"),
             log_lines_dropped: counter(
                 "log_lines_dropped",
                 "Log lines for which the reader was too slow",
--- a/crates/hawthornstand/src/ids.rs
+++ b/crates/hawthornstand/src/ids.rs
@@ -12,6 +12,8 @@
 pub type IndexVersion = u64;
 /// Identity of a backend server.
 pub type LeafId = String;
+/// Number of a link to another VM, within one process.
+pub type LinkId = u64;
 /// Rank of a request; 0 comes first.
 pub type Priority = u32;
 /// Revision of the published configuration or of the VM list.
--- a/crates/hawthornstand/tests/scenario/load.rs
+++ b/crates/hawthornstand/tests/scenario/load.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hawthornstand_standins::http;
 use serde_json::json;
@@ -47,7 +47,7 @@
         let (counts, stop, addresses) = (Arc::clone(&counts), Arc::clone(&stop), addresses.clone());
         senders.push(runner.runtime.spawn(async move {
             let mut request = number as usize;
-            let mut balancer = vec![false; addresses.len()];
+            let mut balancer = vec![None; addresses.len()];
             while !stop.load(Ordering::SeqCst) {
                 request += 1;
                 let vm = request % addresses.len();
@@ -86,13 +86,17 @@
 }
 
 /// Asks a VM as a balancer does; one that was ready and is gone without having said so counts as a cut.
-async fn is_ready(counts: &Counts, address: &str, was_ready: &mut bool) -> bool {
+async fn is_ready(counts: &Counts, address: &str, last_ready: &mut Option<Instant>) -> bool {
     let reply = http::get(address, "/ready").await;
-    if reply.is_err() && *was_ready {
+    if reply.is_err()
+        && let Some(last) = last_ready
+    {
+        eprintln!("{address} is gone, {} ms after it was ready", last.elapsed().as_millis());
         counts.cut.fetch_add(1, Ordering::SeqCst);
     }
-    *was_ready = reply.is_ok_and(|reply| reply.status == 200);
-    *was_ready
+    let is_ready = reply.is_ok_and(|reply| reply.status == 200);
+    *last_ready = is_ready.then(Instant::now);
+    is_ready
 }
 
 /// Sends one search to a VM.
@@ -101,7 +105,10 @@
     let headers = [("timeout-ms", "1000".to_string())];
     let reply = http::send(address, "POST", "/services/roster/search", &headers, &body).await;
     let counter = match reply {
-        Err(_) => &counts.cut,
+        Err(error) => {
+            eprintln!("search {number} at {address}: {error}");
+            &counts.cut
+        }
         Ok(reply) if reply.status != 200 => {
             eprintln!("search {number} at {address}: {} {}", reply.status, reply.body);
             &counts.refused
