--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -49,7 +49,7 @@
             max_connections: UNPUBLISHED_CONNECTIONS,
         };
         Self {
-            budget: Budget::new(settings.budget(), Instant::now()),
+            budget: settings.budget(rand::random(), Instant::now()),
             line: Arc::default(),
             name: name.to_string(),
             published: Mutex::new(published),
@@ -102,6 +102,7 @@
             Ok(index) => Arc::clone(&services[index]),
             Err(index) => {
                 let service = Arc::new(Service::new(name, &self.settings));
+                service.budget.set_slack(self.settings.extra_slack(self.fleet()));
                 services.insert(index, Arc::clone(&service));
                 service
             }
@@ -121,9 +122,9 @@
     /// Sets the number of VMs that share the connections.
     pub fn set_fleet(&self, fleet: usize) {
         *lock(&self.fleet) = fleet;
-        let floor = self.settings.extra_floor(fleet);
+        let slack = self.settings.extra_slack(fleet);
         for service in self.services() {
-            service.budget.set_min_extra(floor);
+            service.budget.set_slack(slack);
             self.share_connections(&service);
         }
     }
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::derives::value_types;
-use crate::settings::BudgetSettings;
+use crate::policy::budget::Budget;
 
 /// Part of the published share of extra attempts that is used: requests that reach no VM count in the
 /// published share only.
 const EXTRA_MARGIN: f64 = 0.85;
-/// Part of the published floor of extra attempts that the whole fleet uses.
-const FLOOR_MARGIN: f64 = 0.5;
+/// Part of the published slack that the whole fleet uses: a VM that is replaced within the window uses its part twice.
+const SLACK_MARGIN: f64 = 0.5;
 
 value_types! {
     /// Where this VM stands.
@@ -26,8 +28,8 @@
     pub struct ExtraBounds {
         /// Extra attempts as a share of requests.
         pub ratio: f64,
-        /// Extra attempts allowed whatever the rate.
-        pub floor: f64,
+        /// Extra attempts allowed beyond the share.
+        pub slack: f64,
         pub window: Duration,
     }
 
@@ -73,17 +75,16 @@
         ]
     }
 
-    /// Returns the budget of one service on this VM.
-    pub fn budget(&self) -> BudgetSettings {
-        BudgetSettings {
-            extra_percent: (self.extra.ratio * EXTRA_MARGIN * 100.0) as u64,
-            min_extra_per_window: self.extra_floor(self.assumed_fleet),
-            window_ms: self.extra.window.as_millis() as u64,
-        }
+    /// Returns the budget of one service on this VM; `phase` is drawn from 0 to 1.
+    pub fn budget(&self, phase: f64, now: Instant) -> Budget {
+        let extra_percent = self.extra.ratio * EXTRA_MARGIN * 100.0;
+        let budget = Budget::of_many(extra_percent, self.extra.window, phase, now);
+        budget.set_slack(self.extra_slack(self.assumed_fleet));
+        budget
     }
 
-    /// Returns this VM's part of the extra attempts that are allowed whatever the rate.
-    pub fn extra_floor(&self, fleet: usize) -> u64 {
-        ((self.extra.floor * FLOOR_MARGIN / fleet.max(1) as f64) as u64).max(1)
+    /// Returns this VM's part of the extra attempts that are allowed beyond the share of requests.
+    pub fn extra_slack(&self, fleet: usize) -> f64 {
+        self.extra.slack * SLACK_MARGIN / fleet.max(1) as f64
     }
 }
--- a/crates/hawthornstand/src/policy/budget.rs
+++ b/crates/hawthornstand/src/policy/budget.rs
@@ -22,21 +22,44 @@
 /// Counts first and extra attempts over a sliding window.
 pub struct Budget {
     buckets: Mutex<[Bucket; BUCKETS]>,
-    min_extra: AtomicU64,
-    settings: BudgetSettings,
+    /// Extra attempts in percent of first ones.
+    extra_percent: f64,
+    /// Extra attempts allowed whatever the rate.
+    min_extra: f64,
+    /// Part of an attempt by which this budget is rounded, so that many small ones together are not rounded away.
+    phase: f64,
+    /// Extra attempts allowed beyond the share of first ones, in thousandths.
+    slack_thousandths: AtomicU64,
     start: Instant,
+    window: Duration,
 }
 
 impl Budget {
     /// Creates an unused budget.
     pub fn new(settings: BudgetSettings, now: Instant) -> Self {
-        let min_extra = AtomicU64::new(settings.min_extra_per_window);
-        Self { buckets: Mutex::default(), min_extra, settings, start: now }
+        let window = Duration::from_millis(settings.window_ms);
+        Self {
+            min_extra: settings.min_extra_per_window as f64,
+            ..Self::of_many(settings.extra_percent as f64, window, 0.0, now)
+        }
+    }
+
+    /// Creates one of many budgets that share a bound; `phase` is drawn from 0 to 1 for each of them.
+    pub fn of_many(extra_percent: f64, window: Duration, phase: f64, now: Instant) -> Self {
+        Self {
+            buckets: Mutex::default(),
+            extra_percent,
+            min_extra: 0.0,
+            phase,
+            slack_thousandths: AtomicU64::new(0),
+            start: now,
+            window,
+        }
     }
 
-    /// Changes the extra attempts that are allowed whatever the rate.
-    pub fn set_min_extra(&self, min_extra_per_window: u64) {
-        self.min_extra.store(min_extra_per_window, Ordering::Relaxed);
+    /// Changes the extra attempts that are allowed beyond the share of first ones.
+    pub fn set_slack(&self, attempts_per_window: f64) {
+        self.slack_thousandths.store((attempts_per_window * 1000.0) as u64, Ordering::Relaxed);
     }
 
     /// Counts first attempts.
@@ -51,9 +74,9 @@
         let number = self.bucket_number(now);
         let mut buckets = lock(&self.buckets);
         let (first, extra) = totals(&buckets, number);
-        let allowed =
-            (first * self.settings.extra_percent / 100).max(self.min_extra.load(Ordering::Relaxed));
-        if extra >= allowed {
+        let share = (first as f64 * self.extra_percent / 100.0).max(self.min_extra);
+        let slack = self.slack_thousandths.load(Ordering::Relaxed) as f64 / 1000.0;
+        if extra as f64 + 1.0 > share + slack + self.phase {
             return false;
         }
         current(&mut buckets, number).extra += 1;
@@ -80,8 +103,7 @@
 
     /// Returns the number of the bucket that an instant falls into, starting at 1.
     fn bucket_number(&self, now: Instant) -> u64 {
-        let bucket =
-            Duration::from_millis(self.settings.window_ms.max(BUCKETS as u64)) / BUCKETS as u32;
+        let bucket = self.window.max(Duration::from_millis(BUCKETS as u64)) / BUCKETS as u32;
         (now.saturating_duration_since(self.start).as_micros() / bucket.as_micros().max(1)) as u64
             + 1
     }
--- a/crates/hawthornstand/tests/gateway_policy.rs
+++ b/crates/hawthornstand/tests/gateway_policy.rs
@@ -15,8 +15,9 @@
 use hawthornstand::gateway::settings::{ExtraBounds, GatewaySettings, Place};
 use hawthornstand::gateway::shares::Shares;
 use hawthornstand::gateway::time_budget::TimeBudget;
-use hawthornstand::policy::budget::Budget;
 use hawthornstand::process::clock::SystemClock;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -31,7 +32,7 @@
         assumed_fleet: 12,
         caller_address: any,
         drain: Duration::from_secs(4),
-        extra: ExtraBounds { ratio: 0.2, floor: 56.0, window: Duration::from_secs(10) },
+        extra: ExtraBounds { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) },
         grace: Duration::from_secs(6),
         metrics_address: None,
         peer_address: None,
@@ -144,22 +145,60 @@
     assert_eq!(delay, Duration::from_millis(expected_ms));
 }
 
+/// Each of many VMs sees little of the traffic: what the fleet may send is neither exceeded nor rounded away.
+#[rstest]
+#[case::idle(0)]
+#[case::one_request_a_second(10)]
+#[case::three_requests_a_second(30)]
+fn extra_attempts_of_a_large_fleet_add_up_to_its_share(#[case] requests: u64) {
+    const FLEET: usize = 70;
+    let settings = settings();
+    let mut random = StdRng::seed_from_u64(70);
+    for _ in 0..50 {
+        let now = Instant::now();
+        let mut extra = 0;
+        for _ in 0..FLEET {
+            let budget = settings.budget(random.random(), now);
+            budget.set_slack(settings.extra_slack(FLEET));
+            budget.record_first(now, requests);
+            extra += (0..100).take_while(|_| budget.try_take(now)).count();
+        }
+        let published = settings.extra.ratio * (requests * FLEET as u64) as f64;
+        assert!(extra as f64 <= published + settings.extra.slack, "{extra} extra attempts");
+        // The margins are 15% and a half; chance may take a little more.
+        let used = 0.8 * published + 0.25 * settings.extra.slack;
+        assert!(extra as f64 >= used, "{extra} extra attempts, {used} expected");
+    }
+}
+
+/// A repartition brings services that nobody knew when the fleet was counted.
+#[test]
+fn service_that_comes_later_has_its_share_of_a_large_fleet() {
+    let directory = Directory::new(settings());
+    directory.set_fleet(70);
+    let now = Instant::now();
+    let budget = &directory.service("new").budget;
+    let extra = (0..100).take_while(|_| budget.try_take(now)).count();
+    assert!(extra <= 1, "{extra} extra attempts of one VM in 70, 56 allowed to all");
+}
+
 #[test]
 fn extra_attempts_of_the_fleet_stay_within_the_published_bound() {
     let settings = settings();
+    let mut random = StdRng::seed_from_u64(1);
     for fleet in [1, 8, 12, 56, 70] {
         let now = Instant::now();
         let mut extra = 0;
         for vm in 0..fleet {
             // Uneven traffic: a third of the VMs carry all of it.
             let requests = if vm % 3 == 0 { 300 } else { 0 };
-            let budget = Budget::new(settings.budget(), now);
-            budget.set_min_extra(settings.extra_floor(fleet));
+            let budget = settings.budget(random.random(), now);
+            budget.set_slack(settings.extra_slack(fleet));
             budget.record_first(now, requests);
             extra += (0..10_000).take_while(|_| budget.try_take(now)).count();
         }
         let requests = fleet.div_ceil(3) * 300;
-        let bound = requests as f64 * settings.extra.ratio + settings.extra.floor;
+        let bound = requests as f64 * settings.extra.ratio + settings.extra.slack;
         assert!(
             extra as f64 <= bound,
             "{extra} extra attempts in a fleet of {fleet}, bound {bound}"
--- a/crates/hawthornstand/tests/gateway_reload.rs
+++ b/crates/hawthornstand/tests/gateway_reload.rs
@@ -27,7 +27,7 @@
         assumed_fleet: 3,
         caller_address: ([127, 0, 0, 1], 7100).into(),
         drain: Duration::from_secs(4),
-        extra: ExtraBounds { ratio: 0.2, floor: 56.0, window: Duration::from_secs(10) },
+        extra: ExtraBounds { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) },
         grace: Duration::from_secs(6),
         metrics_address: None,
         peer_address: None,
