A sample after a while without any counts more in an estimate

Cause: each of 70 VMs sends a shard about one request a second; with a weight of an eighth a VM took eight seconds to leave a replica that had turned nine times as slow, and hedged each request meanwhile.

--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -33,21 +33,22 @@
     /// Adds a sample.
     pub fn observe(&mut self, sample: Duration, now: Instant) {
         let sample_s = sample.as_secs_f64();
-        if self.updated.replace(now).is_none() {
+        let Some(updated) = self.updated.replace(now) else {
             self.mean_s = sample_s;
             self.deviation_s = sample_s / 2.0;
             return;
-        }
+        };
+        // After a while without samples the new one says more than the old ones.
+        let aged = 1.0 - trust(now.saturating_duration_since(updated));
         let error_s = (sample_s - self.mean_s).abs();
-        self.deviation_s += DEVIATION_WEIGHT * (error_s - self.deviation_s);
-        self.mean_s += MEAN_WEIGHT * (sample_s - self.mean_s);
+        self.deviation_s += DEVIATION_WEIGHT.max(aged) * (error_s - self.deviation_s);
+        self.mean_s += MEAN_WEIGHT.max(aged) * (sample_s - self.mean_s);
     }
 
     /// Returns the expected time; it returns to the prior while no samples come.
     pub fn expected(&self, prior: Duration, now: Instant) -> Duration {
         let Some(updated) = self.updated else { return prior };
-        let age = now.saturating_duration_since(updated).as_secs_f64();
-        let trust = 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        let trust = trust(now.saturating_duration_since(updated));
         Duration::from_secs_f64(trust * self.mean_s + (1.0 - trust) * prior.as_secs_f64())
     }
 
@@ -69,6 +70,11 @@
     }
 }
 
+/// Returns how much an estimate of an age still says, 1 for a fresh one.
+fn trust(age: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+}
+
 /// Returns the time after which another replica is asked as well, from when the answers of the replicas
 /// are overdue.
 ///
--- a/crates/hawthornstand/tests/gateway_load.rs
+++ b/crates/hawthornstand/tests/gateway_load.rs
@@ -125,3 +125,20 @@
     let later = start + Duration::from_millis(50) * 40;
     assert_eq!(next(&servers, &[], later), Some(0));
 }
+
+/// Each of many VMs sends a shard one request a second, and the replica nearby turns nine times as slow: two of
+/// its answers are enough to prefer a distant one.
+#[test]
+fn slow_replica_seen_once_a_second() {
+    let servers = shard();
+    let start = Instant::now();
+    for second in 0..10 {
+        servers[0].record_answer(WORK, false, start + Duration::from_secs(second));
+        // Hedges while the one nearby pauses.
+        servers[1].record_answer(WORK + DISTANCE, false, start + Duration::from_secs(second));
+    }
+    for second in 10..12 {
+        servers[0].record_answer(WORK * 9, false, start + Duration::from_secs(second));
+    }
+    assert_ne!(next(&servers, &[], start + Duration::from_secs(12)), Some(0));
+}
