A quiet link tells that it lives whatever it hears; changes of the store are gathered for 300 ms

Found by reading; gateway_links.rs, link_without_news_stays_open, failed first (lost after 5 s). Change: a ping is due 2 s after the last message sent.

--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -23,7 +23,7 @@
 const LINKS: usize = 3;
 /// Time allowed for opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time between two messages on a link that has no news.
+/// Longest time between two messages on a link.
 const IDLE_PING: Duration = Duration::from_secs(2);
 /// Time over which newly known VMs are gathered into one message.
 const KNOWN_DELAY: Duration = Duration::from_secs(1);
@@ -98,7 +98,7 @@
 }
 
 /// Exchanges news on a link until it ends; returns why it ended.
-async fn talk<S>(peers: &Peers, socket: WebSocketStream<S>) -> String
+pub async fn talk<S>(peers: &Peers, socket: WebSocketStream<S>) -> String
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
@@ -107,6 +107,7 @@
         id,
         known_due: None,
         last_heard: Instant::now(),
+        last_sent: Instant::now(),
         peers,
         proximity: Proximity::OtherRegion,
         socket,
@@ -127,6 +128,7 @@
     /// When newly known VMs are told.
     known_due: Option<Instant>,
     last_heard: Instant,
+    last_sent: Instant,
     peers: &'a Peers,
     proximity: Proximity,
     socket: WebSocketStream<S>,
@@ -157,7 +159,8 @@
         loop {
             let look_at = self.tell_and_ask().await?;
             let due = [look_at, self.known_due].into_iter().flatten().min();
-            let wake = due.unwrap_or_else(|| Instant::now() + IDLE_PING);
+            let ping_due = self.last_sent + IDLE_PING;
+            let wake = due.map_or(ping_due, |due| due.min(ping_due));
             let silence = self.last_heard + SILENCE_LIMIT;
             tokio::select! {
                 message = tokio::time::timeout_at(silence, self.socket.next()) => match message {
@@ -175,10 +178,7 @@
                     known.borrow_and_update();
                     self.known_due.get_or_insert(Instant::now() + KNOWN_DELAY);
                 }
-                () = tokio::time::sleep_until(wake) => if due.is_none() {
-                    let ping = self.peers.ping();
-                    self.send(&ping).await?;
-                },
+                () = tokio::time::sleep_until(wake) => {}
             }
         }
     }
@@ -187,7 +187,7 @@
     async fn tell_and_ask(&mut self) -> Result<Option<Instant>, String> {
         let now = Instant::now();
         let own = self.peers.state.as_of();
-        if own > self.told {
+        if own > self.told || now >= self.last_sent + IDLE_PING {
             self.told = own;
             let ping = self.peers.ping();
             self.send(&ping).await?;
@@ -272,6 +272,7 @@
         let mut bytes = Vec::new();
         ciborium::into_writer(message, &mut bytes).map_err(|error| error.to_string())?;
         self.peers.note_sent(bytes.len());
+        self.last_sent = Instant::now();
         self.socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())
     }
 }
--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -20,8 +20,9 @@
 const LAST_PAUSE: Duration = Duration::from_millis(1000);
 /// Time for which a watch may lag behind what another VM has told.
 const MAX_LAG: Duration = Duration::from_millis(1500);
-/// Time over which changes are gathered, so that a series of them costs one read.
-const GATHER: Duration = Duration::from_millis(100);
+/// Time over which changes are gathered, so that a series of them costs one read: a tenth of the shortest time
+/// within which the platform wants a change known.
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Tells whether this VM reads the store itself.
 pub trait ReadDuty: Send + Sync {
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -0,0 +1,116 @@
+//! Links between two VMs over a pipe, with paused time.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornstand::gateway::culprits::Culprits;
+use hawthornstand::gateway::items::{Change, Update};
+use hawthornstand::gateway::peer_link;
+use hawthornstand::gateway::peers::Peers;
+use hawthornstand::gateway::settings::{ExtraBounds, GatewaySettings, Place};
+use hawthornstand::gateway::speech::{
+    PublishedKey, PublishedStore, PublishedValue, StoreError, StoreList,
+};
+use hawthornstand::gateway::state::State;
+use hawthornstand::gateway::telemetry::Telemetry;
+use hawthornstand::ids::Revision;
+use hawthornstand::process::log_limit::LogLosses;
+use tokio::task::JoinHandle;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::Role;
+
+/// A store that is out of reach.
+struct NoStore;
+
+impl PublishedStore for NoStore {
+    fn list(&self) -> Pin<Box<dyn Future<Output = Result<StoreList, StoreError>> + Send + '_>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn watch(
+        &self,
+        _after: Revision,
+        _wait: Duration,
+    ) -> Pin<Box<dyn Future<Output = Result<StoreList, StoreError>> + Send + '_>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn read_key(&self, _key: &str) -> PublishedKey {
+        PublishedKey::Unknown
+    }
+
+    fn read_value(&self, _key: &str, _value: &[u8]) -> Result<PublishedValue, String> {
+        Err("no values here".to_string())
+    }
+}
+
+/// Creates a VM with the last part of its IP number.
+fn vm(number: u8) -> Arc<Peers> {
+    let address = ([127, 0, 0, number], 7102).into();
+    let settings = GatewaySettings {
+        assumed_fleet: 2,
+        caller_address: address,
+        drain: Duration::from_secs(4),
+        extra: ExtraBounds { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) },
+        grace: Duration::from_secs(6),
+        metrics_address: None,
+        peer_address: Some(address),
+        place: Place {
+            failure_domain: "marmara-a".to_string(),
+            region: "marmara".to_string(),
+            regions: Vec::new(),
+        },
+        readiness_address: address,
+        seeds: Vec::new(),
+        vm_id: format!("front-{number}"),
+    };
+    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
+    let bytes = telemetry.link_bytes.clone();
+    let state = Arc::new(State::new(&settings, Arc::new(NoStore), telemetry));
+    Arc::new(Peers::new(address, &settings, Arc::new(Culprits::default()), state, bytes))
+}
+
+/// Links two VMs; the tasks end with the link.
+async fn link(first: &Arc<Peers>, second: &Arc<Peers>) -> [JoinHandle<String>; 2] {
+    let (one_end, other_end) = tokio::io::duplex(64 * 1024);
+    let client = WebSocketStream::from_raw_socket(one_end, Role::Client, None).await;
+    let server = WebSocketStream::from_raw_socket(other_end, Role::Server, None).await;
+    let (first, second) = (Arc::clone(first), Arc::clone(second));
+    [
+        tokio::spawn(async move { peer_link::talk(&first, client).await }),
+        tokio::spawn(async move { peer_link::talk(&second, server).await }),
+    ]
+}
+
+fn change(revision: Revision) -> Update {
+    let value = Some(Bytes::from_static(b"value"));
+    let change = Change { after_outage: false, key: format!("key-{revision}"), revision, value };
+    Update { after: 0, after_outage: false, as_of: revision, changes: vec![change] }
+}
+
+#[tokio::test(start_paused = true)]
+async fn link_without_news_stays_open() {
+    let (first, second) = (vm(1), vm(2));
+    let ends = link(&first, &second).await;
+    for second in 0..120 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(ends.iter().all(|end| !end.is_finished()), "lost after {second} s");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_is_fetched_and_confirmed() {
+    let (first, second) = (vm(1), vm(2));
+    let _ends = link(&first, &second).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    first.state.take_over(&change(7), "store");
+    first.state.confirm(Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(second.state.as_of(), 7);
+    // The next ping says how fresh that is.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(second.state.age_of_knowledge().is_some());
+}
