What others confirm of the store counts for a VM that lost it; links leave the seeds once others are known

The news of a server that left said only that its entry was gone, marked as read shortly after an outage; VMs that had lost the store at 5 s and then had no duty to read took it for away for good (14 'store lost', 7 'store regained'), and kept lapsed entries.

--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -33,6 +33,8 @@
 const KNOWN_DELAY: Duration = Duration::from_secs(1);
 /// Silence after which a link counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time after which a link is given up that was opened while hardly any VM was known; each draws its own part of it.
+const OUTGROWN_AFTER: Duration = Duration::from_secs(4);
 /// Time between two attempts to open a link.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -83,7 +85,10 @@
             match tokio::time::timeout(OPEN_TIMEOUT, open(address)).await {
                 Ok(Ok(socket)) => {
                     log::info!(peer = address.to_string(); "link open");
-                    let reason = talk(&peers, socket).await;
+                    let reason = tokio::select! {
+                        reason = talk(&peers, socket) => reason,
+                        () = outgrown(&peers) => "more VMs are known by now".to_string(),
+                    };
                     log::info!(peer = address.to_string(); "link lost: {reason}");
                 }
                 Ok(Err(error)) => log::debug!(peer = address.to_string(); "no link: {error}"),
@@ -95,6 +100,25 @@
     }
 }
 
+/// Waits until so many VMs are known that a link drawn now would hardly go to the same one.
+///
+/// A VM starts with the addresses of a few seeds; if all links stayed there, the seeds would serve the whole fleet.
+async fn outgrown(peers: &Peers) {
+    let mut known = peers.known.subscribe();
+    let at_open = known.borrow_and_update().len();
+    // The sender lives as long as the VM.
+    let grown = known.wait_for(|known| is_outgrown(at_open, known.len())).await.is_ok();
+    if !grown {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(OUTGROWN_AFTER.mul_f64(rand::random_range(0.3..1.0))).await;
+}
+
+/// Returns whether a link was drawn from few of the VMs that are known now.
+pub fn is_outgrown(known_at_open: usize, known: usize) -> bool {
+    known_at_open * 2 <= known && known > LINKS
+}
+
 /// Opens a link.
 async fn open(
     address: SocketAddr,
@@ -118,6 +142,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let id = peers.number_link();
+    let _offer = Offer { id, peers };
     let mut link = Link {
         id,
         known_due: None,
@@ -129,12 +154,22 @@
         told: 0,
         told_known: Vec::new(),
     };
-    let reason = match link.converse().await {
+    match link.converse().await {
         Ok(()) => "closed by the other VM".to_string(),
         Err(reason) => reason,
-    };
-    peers.pulls.withdraw(id);
-    reason
+    }
+}
+
+/// Takes the offers of a link back when it ends, however it ends.
+struct Offer<'a> {
+    id: LinkId,
+    peers: &'a Peers,
+}
+
+impl Drop for Offer<'_> {
+    fn drop(&mut self) {
+        self.peers.pulls.withdraw(self.id);
+    }
 }
 
 /// One link to another VM.
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::gateway::items::{Items, Update};
 use crate::gateway::listing::RETURN_OF_ENTRIES;
 use crate::gateway::model::{CallerLimits, Route, Routing, Target};
+use crate::gateway::readers;
 use crate::gateway::routes::{Destination, PlacedRoute, RouteTable};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shares::Shares;
@@ -25,13 +26,31 @@
     pub version: u64,
 }
 
+/// Time without a confirmation of the store by any VM after which it may have been away for all of them.
+const CONFIRMATION_GAP: Duration = readers::MAX_AGE;
+
 /// Contact with the store.
 #[derive(Clone, Copy, Debug)]
 struct Contact {
     away: bool,
+    /// Since when others have confirmed the store while it is away for this VM.
+    back_for_others: Option<Instant>,
     /// End of the last outage, or the start of this process.
     back_since: Instant,
     had_outage: bool,
+    lost_at: Option<Instant>,
+}
+
+impl Contact {
+    /// Takes over that the store answered some VM; `gap` is the time since it last did.
+    fn note_confirmed(&mut self, at: Instant, gap: Option<Duration>) {
+        if !self.away || self.lost_at.is_some_and(|lost| at <= lost) {
+            return;
+        }
+        if self.back_for_others.is_none() || gap.is_none_or(|gap| gap > CONFIRMATION_GAP) {
+            self.back_for_others = Some(at);
+        }
+    }
 }
 
 /// Routes and backend servers, merged from the store and from other VMs.
@@ -60,8 +79,10 @@
             confirmed: Mutex::default(),
             contact: Mutex::new(Contact {
                 away: false,
+                back_for_others: None,
                 back_since: Instant::now(),
                 had_outage: false,
+                lost_at: None,
             }),
             in_force: RwLock::default(),
             items: Mutex::default(),
@@ -100,8 +121,13 @@
     /// Notes that the store confirmed what is known a while ago.
     pub fn confirm(&self, age: Duration) {
         let Some(at) = Instant::now().checked_sub(age) else { return };
-        let mut confirmed = lock(&self.confirmed);
-        *confirmed = Some(confirmed.map_or(at, |known| known.max(at)));
+        let gap = {
+            let mut confirmed = lock(&self.confirmed);
+            let gap = confirmed.map(|known| at.saturating_duration_since(known));
+            *confirmed = Some(confirmed.map_or(at, |known| known.max(at)));
+            gap
+        };
+        lock(&self.contact).note_confirmed(at, gap);
     }
 
     /// Returns the time since the store last confirmed what is known.
@@ -115,14 +141,20 @@
         if contact.away && !away {
             contact.back_since = Instant::now();
         }
+        if away && !contact.away {
+            contact.lost_at = Some(Instant::now());
+            contact.back_for_others = None;
+        }
         contact.had_outage |= away;
         std::mem::replace(&mut contact.away, away) != away
     }
 
     /// Returns since when the store is back; none while it is away.
+    ///
+    /// A VM that has no duty to read does not find out by itself: what others confirm counts for it.
     pub fn store_back_since(&self) -> Option<Instant> {
         let contact = lock(&self.contact);
-        (!contact.away).then_some(contact.back_since)
+        if contact.away { contact.back_for_others } else { Some(contact.back_since) }
     }
 
     /// Returns whether the store is away or was until a moment ago.
--- a/crates/hawthornstand/tests/gateway_links.rs
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -22,7 +22,9 @@
 use hawthornstand::gateway::telemetry::Telemetry;
 use hawthornstand::ids::Revision;
 use hawthornstand::process::log_limit::LogLosses;
+use rstest::rstest;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::Role;
 
@@ -93,6 +95,55 @@
     }
 }
 
+/// A fleet starts, and each VM knows the same three seeds: its links move on once it has heard of the others.
+#[rstest]
+#[case::start_of_a_large_fleet(3, 69, true)]
+#[case::start_of_a_small_fleet(3, 8, true)]
+#[case::some_are_known(30, 69, true)]
+#[case::most_are_known(50, 69, false)]
+#[case::fleet_of_four(1, 3, false)]
+#[case::nobody_else_came(3, 3, false)]
+fn links_to_seeds_are_given_up(
+    #[case] known_at_open: usize,
+    #[case] known: usize,
+    #[case] expected: bool,
+) {
+    assert_eq!(peer_link::is_outgrown(known_at_open, known), expected);
+}
+
+/// A VM loses the store, and then others read for it: lapsed entries are not kept for good.
+#[tokio::test(start_paused = true)]
+async fn store_that_answers_others_is_back() {
+    let vm = vm(1);
+    let second = Duration::from_secs(1);
+    tokio::time::sleep(second).await;
+    vm.state.confirm(Duration::ZERO);
+    vm.state.set_store_away(true);
+    vm.state.confirm(second / 2);
+    assert_eq!(vm.state.store_back_since(), None, "confirmed before it was lost");
+    tokio::time::sleep(second).await;
+    vm.state.confirm(Duration::ZERO);
+    let back = Instant::now();
+    assert_eq!(vm.state.store_back_since(), Some(back));
+    tokio::time::sleep(second).await;
+    vm.state.confirm(Duration::ZERO);
+    assert_eq!(vm.state.store_back_since(), Some(back));
+}
+
+/// The store is away for everyone: entries that lapse have their time from its return on.
+#[tokio::test(start_paused = true)]
+async fn outage_for_all_counts_from_its_end() {
+    let vm = vm(1);
+    let second = Duration::from_secs(1);
+    vm.state.set_store_away(true);
+    tokio::time::sleep(second).await;
+    vm.state.confirm(Duration::ZERO);
+    // Nobody hears of the store for longer than readers are relied on.
+    tokio::time::sleep(second * 6).await;
+    vm.state.confirm(Duration::ZERO);
+    assert_eq!(vm.state.store_back_since(), Some(Instant::now()));
+}
+
 /// Every VM is started again while the store is away; the first one that reaches it tells the others.
 #[tokio::test(start_paused = true)]
 async fn vm_that_knows_nothing_is_told_at_once() {
