A connection that a denied hedge had reserved goes back to its pool

Cause: since connections are reserved when they are chosen, a hedge that the budget denied dropped its reservation, and with it a kept connection, every 10 ms until the answer came. Ruled out: the same in calls that run (their connection is given back after the answer). Change: what is not needed is cancelled. gateway_connections.rs, connection_that_was_promised_and_not_needed_is_kept.

--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -206,6 +206,7 @@
             if !self.service.budget.try_take(Instant::now()) {
                 self.means.telemetry.budget_denials.inc();
                 self.log("no retry: the budget is spent", &server.published.id);
+                server.pool.cancel(reservation);
                 return None;
             }
             self.means.telemetry.retries.inc();
@@ -240,6 +241,7 @@
         };
         if !self.service.budget.try_take(now) {
             self.means.telemetry.budget_denials.inc();
+            server.pool.cancel(reservation);
             return recheck;
         }
         self.means.telemetry.hedges.inc();
--- a/crates/hawthornstand/src/gateway/pool.rs
+++ b/crates/hawthornstand/src/gateway/pool.rs
@@ -140,6 +140,13 @@
         self.slot().map(Reservation::New)
     }
 
+    /// Takes back what was promised and is not needed.
+    pub fn cancel(&self, reservation: Reservation) {
+        let Reservation::Kept(connection) = reservation else { return };
+        lock(&self.idle).push(connection);
+        self.count.line.call_next();
+    }
+
     /// Counts one more connection as open, if the share allows it.
     pub fn slot(&self) -> Option<Slot> {
         if self.open() >= self.max_open() {
--- a/crates/hawthornstand/tests/gateway_connections.rs
+++ b/crates/hawthornstand/tests/gateway_connections.rs
@@ -9,7 +9,7 @@
 use gateway_support::published_server;
 use hawthornstand::gateway::choice::Standing;
 use hawthornstand::gateway::model::PublishedServer;
-use hawthornstand::gateway::pool::{ConnectError, Pool};
+use hawthornstand::gateway::pool::{ConnectError, Pool, Reservation};
 use hawthornstand::gateway::server::{Proximity, Server};
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -21,6 +21,20 @@
     Server::new(published, Proximity::SameRegion, pool, Arc::default())
 }
 
+#[tokio::test]
+async fn connection_that_was_promised_and_not_needed_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let server = server(listener.local_addr().expect("an address"), 1);
+    let kept = server.connect().await.expect("the only connection");
+    server.pool.give_back(kept, None);
+    for _ in 0..3 {
+        let reservation = server.pool.reserve(false, Instant::now()).expect("a connection");
+        assert!(matches!(reservation, Reservation::Kept(_)));
+        server.pool.cancel(reservation);
+    }
+    assert_eq!((server.pool.open(), server.pool.idle(Instant::now())), (1, 1));
+}
+
 #[rstest]
 #[case::share_in_use(true, ConnectError::ShareInUse, Standing::Usable)]
 #[case::nobody_listens(false, ConnectError::Failed, Standing::Unusable)]
