--- a/crates/hawthornstand/src/process/head_timeout.rs
+++ b/crates/hawthornstand/src/process/head_timeout.rs
@@ -86,7 +86,7 @@
         if let Some(begun) = &mut this.begun
             && begun.overdue.as_mut().poll(context).is_ready()
         {
-            return read;
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         read
     }
