--- a/crates/hawthornstand/src/callers/caller_http.rs
+++ b/crates/hawthornstand/src/callers/caller_http.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fastrace::collector::SpanContext;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::Serialize;
@@ -18,6 +18,7 @@
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{BookingRequest, SearchRequest};
 use crate::process::context::Context;
+use crate::process::http_body;
 use crate::process::trace::{root_span, traceparent_of};
 use crate::searches::search::{self, Search};
 
@@ -106,15 +107,8 @@
     request: Request<Incoming>,
 ) -> Result<T, Failure> {
     let limit = context.settings.admission.max_body_bytes as usize;
-    let collected = Limited::new(request.into_body(), limit).collect().await.map_err(|e| {
-        if e.is::<http_body_util::LengthLimitError>() {
-            Failure::new(ErrorKind::BodyTooLarge, format!("at most {limit} bytes are allowed"))
-        } else {
-            Failure::new(ErrorKind::BadBody, e.to_string())
-        }
-    })?;
-    serde_json::from_slice(&collected.to_bytes())
-        .map_err(|e| Failure::new(ErrorKind::BadBody, e.to_string()))
+    let bytes = http_body::read(request.into_body(), limit).await?;
+    serde_json::from_slice(&bytes).map_err(|e| Failure::new(ErrorKind::BadBody, e.to_string()))
 }
 
 /// Tells the balancer whether to send callers here.
--- a/crates/hawthornstand/src/gateway/callers.rs
+++ b/crates/hawthornstand/src/gateway/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -25,6 +25,7 @@
 use crate::ids::{self, Fingerprint, id_text};
 use crate::messages::Outcome;
 use crate::process::clock::Clock;
+use crate::process::http_body;
 use crate::process::http_server::HttpLimits;
 
 /// Headers that belong to one connection only (RFC 9110, section 7.6.1), and the length, which hyper sets.
@@ -160,7 +161,6 @@
         let departure = Departure::watch(&outbound, fingerprint, &time, &self.means);
         let result = self.dispatch(placed, &outbound, &time).await;
         departure.answered();
-        outbound.trail.conclude(&caller.request_id, fingerprint, culprits);
         result.map_err(|failure| Refused::new(&caller.request_id, failure))
     }
 
@@ -277,10 +277,8 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match tokio::time::timeout_at(time.end(), Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(_)) => Err(ErrorKind::BadBody),
+    match tokio::time::timeout_at(time.end(), http_body::read(body, max_bytes)).await {
+        Ok(read) => read.map_err(|failure| failure.kind),
         Err(_) => Err(ErrorKind::BodyTooSlow),
     }
 }
--- a/crates/hawthornstand/src/gateway/culprits.rs
+++ b/crates/hawthornstand/src/gateway/culprits.rs
@@ -12,7 +12,7 @@
 use crate::ids::Fingerprint;
 use crate::locks::lock;
 
-/// Crashes of different processes after which a request is refused: the rule speaks of the third.
+/// Crashes of different processes after which a request is refused: two may be chance.
 const MAX_CRASHES: usize = 3;
 /// Time for which such a request is refused after a crash, as the table of errors says of a quarantine.
 const REFUSAL: Duration = Duration::from_secs(60);
--- a/crates/hawthornstand/src/gateway/departure.rs
+++ b/crates/hawthornstand/src/gateway/departure.rs
@@ -1,4 +1,4 @@
-//! Notes a caller that leaves before its answer.
+//! Ends a request: by its answer, or by a caller that leaves before it.
 
 use std::sync::Arc;
 
@@ -7,7 +7,8 @@
 use crate::gateway::time_budget::TimeBudget;
 use crate::ids::{Fingerprint, id_text};
 
-/// A request that runs; dropped without an answer, its caller has left.
+/// A request that runs; dropped without an answer, its caller has left. Either way, what it did to backend servers
+/// counts.
 pub struct Departure<'a> {
     is_answered: bool,
     fingerprint: Fingerprint,
@@ -35,17 +36,15 @@
 
 impl Drop for Departure<'_> {
     fn drop(&mut self) {
-        if self.is_answered {
-            return;
+        if !self.is_answered {
+            self.means.telemetry.departures.inc();
+            log::info!(
+                request = id_text(&self.request.request_id).as_ref(),
+                waited_ms = self.time.spent().as_millis() as u64,
+                left_ms = self.time.left().as_millis() as u64;
+                "the caller left; the calls to backend servers were ended"
+            );
         }
-        self.means.telemetry.departures.inc();
-        log::info!(
-            request = id_text(&self.request.request_id).as_ref(),
-            waited_ms = self.time.spent().as_millis() as u64,
-            left_ms = self.time.left().as_millis() as u64;
-            "the caller left; the calls to backend servers were ended"
-        );
-        // What the request did to backend servers before that still counts.
         self.request.trail.conclude(
             &self.request.request_id,
             self.fingerprint,
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -24,6 +24,8 @@
 const NEAREST_FACTOR: f64 = 2.0;
 /// Most connections of one VM to one backend server: more requests than that wait too long in its queue.
 const MAX_CONNECTIONS: usize = 12;
+/// Connections to a backend server until the limit is divided, which its insertion does.
+const UNSHARED_CONNECTIONS: usize = 1;
 /// Connection limit assumed until the service is published.
 const UNPUBLISHED_CONNECTIONS: usize = 16;
 /// Health path assumed until the service is published.
@@ -42,14 +44,14 @@
 
 impl Service {
     /// Creates a service without backend servers.
-    fn new(name: &str, settings: &GatewaySettings) -> Self {
+    fn new(name: &str, settings: &GatewaySettings, fleet: usize) -> Self {
         let published = PublishedService {
             name: name.to_string(),
             health_path: UNPUBLISHED_HEALTH_PATH.to_string(),
             max_connections: UNPUBLISHED_CONNECTIONS,
         };
         Self {
-            budget: settings.budget(rand::random(), Instant::now()),
+            budget: settings.budget(fleet, rand::random(), Instant::now()),
             line: Arc::default(),
             name: name.to_string(),
             published: Mutex::new(published),
@@ -101,8 +103,7 @@
         match services.binary_search_by(|known| known.name.as_str().cmp(name)) {
             Ok(index) => Arc::clone(&services[index]),
             Err(index) => {
-                let service = Arc::new(Service::new(name, &self.settings));
-                service.budget.set_slack(self.settings.extra_slack(self.fleet()));
+                let service = Arc::new(Service::new(name, &self.settings, self.fleet()));
                 services.insert(index, Arc::clone(&service));
                 service
             }
@@ -150,10 +151,9 @@
             self.discard(&known);
         }
         let service = self.service(&published.service);
-        let share = service.connection_share(self.fleet());
         let proximity = self.settings.place.proximity(&published.failure_domain);
         let line = Arc::clone(&service.line);
-        let pool = Pool::new(published.address, max_open(share, false), line);
+        let pool = Pool::new(published.address, UNSHARED_CONNECTIONS, line);
         let usual = Arc::clone(&service.usual);
         self.insert(&service, Arc::new(Server::new(published, proximity, pool, usual)));
         self.share_connections(&service);
--- a/crates/hawthornstand/src/gateway/estimate.rs
+++ b/crates/hawthornstand/src/gateway/estimate.rs
@@ -72,7 +72,12 @@
 
 /// Returns how much an estimate of an age still says, 1 for a fresh one.
 fn trust(age: Duration) -> f64 {
-    0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    decay(age, HALF_LIFE)
+}
+
+/// Returns what is left of 1 after a time in which half of it goes each half-life.
+pub fn decay(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
 
 /// Returns the time after which another replica is asked as well, from when the answers of the replicas
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -142,7 +142,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let id = peers.number_link();
-    let _offer = Offer { id, peers };
+    let _withdrawal = Withdrawal { id, peers };
     let mut link = Link {
         id,
         known_due: None,
@@ -161,12 +161,12 @@
 }
 
 /// Takes the offers of a link back when it ends, however it ends.
-struct Offer<'a> {
+struct Withdrawal<'a> {
     id: LinkId,
     peers: &'a Peers,
 }
 
-impl Drop for Offer<'_> {
+impl Drop for Withdrawal<'_> {
     fn drop(&mut self) {
         self.peers.pulls.withdraw(self.id);
     }
@@ -285,16 +285,16 @@
             PeerMessage::Crashed { crashes } => {
                 peers.culprits.record(&crashes, Instant::now());
             }
-            PeerMessage::Hello { address, as_of, failure_domain, known } => {
+            PeerMessage::Hello { address, as_of, failure_domain, mut known } => {
                 self.proximity = peers.place.proximity(&failure_domain);
-                peers.greet(address, &known);
-                self.note_told(&[address]);
+                known.push(address);
+                peers.hear_of(&known);
                 self.note_told(&known);
                 peers.pulls.offer(self.id, self.proximity, as_of);
             }
             PeerMessage::Known { known } => {
                 self.note_told(&known);
-                peers.greet(peers.own, &known);
+                peers.hear_of(&known);
             }
             PeerMessage::News { update } => {
                 peers.pulls.answered(self.id, Instant::now());
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -85,10 +85,9 @@
         });
     }
 
-    /// Takes over what the first message on a link says of the fleet.
-    pub fn greet(&self, address: SocketAddr, known: &[SocketAddr]) {
-        self.learn(&[address]);
-        self.learn(known);
+    /// Takes over what a link tells of the fleet.
+    pub fn hear_of(&self, addresses: &[SocketAddr]) {
+        self.learn(addresses);
         let fleet = self.known.borrow().len() + 1;
         if fleet != self.state.directory.fleet() {
             self.state.directory.set_fleet(fleet);
@@ -113,19 +112,7 @@
     pub fn unlink(&self, address: SocketAddr) {
         lock(&self.linked).retain(|linked| *linked != address);
     }
-}
-
-impl ReadDuty for Peers {
-    fn reads(&self) -> bool {
-        readers::reads(self.own, &self.known.borrow(), self.state.age_of_knowledge())
-    }
-
-    fn watch_wait(&self) -> Duration {
-        readers::watch_wait(self.known.borrow().len() + 1)
-    }
-}
 
-impl Peers {
     /// Returns the time in which this VM may hear of a change from the store; none if it knows nothing yet.
     pub fn patience(&self) -> Duration {
         let hears_soon = self.state.as_of() > 0 && !self.state.store_was_away() && self.reads();
@@ -140,3 +127,13 @@
         }
     }
 }
+
+impl ReadDuty for Peers {
+    fn reads(&self) -> bool {
+        readers::reads(self.own, &self.known.borrow(), self.state.age_of_knowledge())
+    }
+
+    fn watch_wait(&self) -> Duration {
+        readers::watch_wait(self.known.borrow().len() + 1)
+    }
+}
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -7,7 +7,7 @@
 
 use crate::derives::value_types;
 use crate::gateway::choice::{Candidate, Standing};
-use crate::gateway::estimate::Estimate;
+use crate::gateway::estimate::{self, Estimate};
 use crate::gateway::listing::Listing;
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::{ConnectError, Connection, Pool, Slot};
@@ -263,8 +263,7 @@
     /// Returns the failure rate, which fades while no answers come.
     fn failure_rate(&self, now: Instant) -> f64 {
         let Some(at) = self.failed_at else { return 0.0 };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+        self.failure_rate * estimate::decay(now.saturating_duration_since(at), FAILURE_HALF_LIFE)
     }
 
     /// Sets the time of the next probe.
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -75,11 +75,11 @@
         ]
     }
 
-    /// Returns the budget of one service on this VM; `phase` is drawn from 0 to 1.
-    pub fn budget(&self, phase: f64, now: Instant) -> Budget {
+    /// Returns the budget of one service on each VM of a fleet; `phase` is drawn from 0 to 1.
+    pub fn budget(&self, fleet: usize, phase: f64, now: Instant) -> Budget {
         let extra_percent = self.extra.ratio * EXTRA_MARGIN * 100.0;
         let budget = Budget::of_many(extra_percent, self.extra.window, phase, now);
-        budget.set_slack(self.extra_slack(self.assumed_fleet));
+        budget.set_slack(self.extra_slack(fleet));
         budget
     }
 
--- a/crates/hawthornstand/src/gateway/waiting_line.rs
+++ b/crates/hawthornstand/src/gateway/waiting_line.rs
@@ -25,6 +25,27 @@
     waiting: Vec<Waiting>,
 }
 
+impl Line {
+    /// Returns the place behind every request of a priority.
+    fn end_of(&self, priority: Priority) -> usize {
+        self.waiting.partition_point(|waiting| waiting.priority <= priority)
+    }
+
+    /// Returns the place of a request.
+    fn find(&self, number: u64) -> Option<usize> {
+        self.waiting.iter().position(|waiting| waiting.number == number)
+    }
+
+    /// Offers a free connection to the first request from a place on that has none on offer.
+    fn offer_from(&mut self, place: usize) {
+        let Some(next) = self.waiting[place..].iter_mut().find(|waiting| !waiting.called) else {
+            return;
+        };
+        next.called = true;
+        next.wake.notify_one();
+    }
+}
+
 /// The requests that wait at one service.
 #[derive(Default)]
 pub struct WaitingLine(Mutex<Line>);
@@ -32,7 +53,7 @@
 impl WaitingLine {
     /// Returns how many requests go before one of this priority.
     pub fn ahead_of(&self, priority: Priority) -> usize {
-        lock(&self.0).waiting.partition_point(|waiting| waiting.priority <= priority)
+        lock(&self.0).end_of(priority)
     }
 
     /// Returns whether nobody waits.
@@ -46,7 +67,7 @@
         let number = line.next_number;
         line.next_number += 1;
         let wake = Arc::new(Notify::new());
-        let index = line.waiting.partition_point(|waiting| waiting.priority <= priority);
+        let index = line.end_of(priority);
         let waiting = Waiting { called: false, number, priority, wake: Arc::clone(&wake) };
         line.waiting.insert(index, waiting);
         Place { line: self, number, wake }
@@ -54,10 +75,7 @@
 
     /// Offers a free connection to the first request that has none on offer.
     pub fn call_next(&self) {
-        let mut line = lock(&self.0);
-        let Some(next) = line.waiting.iter_mut().find(|waiting| !waiting.called) else { return };
-        next.called = true;
-        next.wake.notify_one();
+        lock(&self.0).offer_from(0);
     }
 }
 
@@ -77,36 +95,27 @@
     /// Returns an offer that this request cannot use to the next one, and waits again.
     pub fn pass_on(&self) {
         let mut line = lock(&self.line.0);
-        let Some(own) = line.waiting.iter().position(|waiting| waiting.number == self.number)
-        else {
-            return;
-        };
-        if !std::mem::take(&mut line.waiting[own].called) {
-            return;
+        let Some(own) = line.find(self.number) else { return };
+        if std::mem::take(&mut line.waiting[own].called) {
+            line.offer_from(own + 1);
         }
-        let Some(next) = line.waiting[own + 1..].iter_mut().find(|waiting| !waiting.called) else {
-            return;
-        };
-        next.called = true;
-        next.wake.notify_one();
     }
 
     /// Leaves the line with the connection that was on offer.
     pub fn serve(self) {
         let mut line = lock(&self.line.0);
-        line.waiting.retain(|waiting| waiting.number != self.number);
+        if let Some(own) = line.find(self.number) {
+            line.waiting[own].called = false;
+        }
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let had_offer = {
-            let mut line = lock(&self.line.0);
-            let own = line.waiting.iter().position(|waiting| waiting.number == self.number);
-            own.is_some_and(|own| line.waiting.remove(own).called)
-        };
-        if had_offer {
-            self.line.call_next();
+        let mut line = lock(&self.line.0);
+        let Some(own) = line.find(self.number) else { return };
+        if line.waiting.remove(own).called {
+            line.offer_from(0);
         }
     }
 }
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -13,6 +13,7 @@
 #[cfg(feature = "own-interface")]
 pub mod gateway_text;
 pub mod head_timeout;
+pub mod http_body;
 pub mod http_server;
 pub mod log_format;
 pub mod log_limit;
--- a/crates/hawthornstand/tests/gateway_reload.rs
+++ b/crates/hawthornstand/tests/gateway_reload.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn refused_settings_leave_the_known_ones_in_force() {
-    let source = Edited(Arc::new(Mutex::new(Err("graceS is -1".to_string()))));
+    let source = Edited(Arc::new(Mutex::new(Err("the grace is negative".to_string()))));
     let mut reload = Reload::new(settings(), Box::new(source.clone()));
     let in_force = reload.subscribe();
     reload.read(true);
