--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -155,6 +155,7 @@
         id,
         last_received: Instant::now(),
         last_sent: Instant::now(),
+        pending_confirmation: None,
         peers,
         proximity: Proximity::OtherRegion,
         socket,
@@ -188,6 +189,8 @@
     id: LinkId,
     last_received: Instant,
     last_sent: Instant,
+    /// Revision that the store confirmed to the other VM, and when; this VM lacks changes up to it.
+    pending_confirmation: Option<(Revision, Instant)>,
     peers: &'a Peers,
     proximity: Proximity,
     socket: WebSocketStream<S>,
@@ -243,6 +246,7 @@
     async fn announce_and_pull(&mut self) -> Result<Option<Instant>, String> {
         let now = Instant::now();
         let own_revision = self.peers.state.as_of();
+        self.apply_confirmation(own_revision);
         if own_revision > self.announced_revision || now >= self.last_sent + PING_INTERVAL {
             self.announced_revision = own_revision;
             let ping = self.peers.ping();
@@ -262,6 +266,15 @@
         }
     }
 
+    /// Records the other VM's confirmation once it holds for this VM's state, which must be no older than the other's.
+    fn apply_confirmation(&mut self, own_revision: Revision) {
+        let Some((revision, confirmed_at)) = self.pending_confirmation else { return };
+        if revision <= own_revision {
+            self.pending_confirmation = None;
+            self.peers.state.record_confirmation(confirmed_at.elapsed());
+        }
+    }
+
     /// Sends the known addresses that were neither sent nor received on this link.
     async fn announce_addresses(&mut self) -> Result<(), String> {
         let mut new = self.peers.known_addresses.borrow().clone();
@@ -308,12 +321,10 @@
             }
             PeerMessage::Ping { age_ms, as_of } => {
                 peers.pulls.record_offer(self.id, self.proximity, as_of);
-                // The confirmation holds for this VM's state only if that state is no older than the other VM's.
-                if let Some(age_ms) = age_ms
-                    && as_of <= peers.state.as_of()
-                {
-                    peers.state.record_confirmation(Duration::from_millis(age_ms));
-                }
+                let age = age_ms.map(Duration::from_millis);
+                let confirmed_at = age.and_then(|age| Instant::now().checked_sub(age));
+                self.pending_confirmation = confirmed_at.map(|at| (as_of, at));
+                self.apply_confirmation(peers.state.as_of());
             }
             PeerMessage::Pull { after } => {
                 let update = peers.state.changes_since(after);
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -7,6 +7,7 @@
 
 use prometheus_client::metrics::counter::Counter;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::peer_messages::PeerMessage;
@@ -34,6 +35,8 @@
     /// Addresses to which this VM has a link open or is opening one.
     linked: Mutex<Vec<SocketAddr>>,
     next_link_id: AtomicU64,
+    /// Until when this VM gets changes over its links only.
+    starting_until: Instant,
 }
 
 impl Peers {
@@ -55,6 +58,7 @@
             link_bytes,
             linked: Mutex::default(),
             next_link_id: AtomicU64::new(0),
+            starting_until: Instant::now() + readers::start_delay(own_address, &settings.seeds),
         };
         peers.add(&settings.seeds);
         peers
@@ -138,6 +142,7 @@
             self.own_address,
             &self.known_addresses.borrow(),
             self.state.confirmation_age(),
+            Instant::now() < self.starting_until,
         )
     }
 
--- a/crates/hawthornstand/src/gateway/protocol.rs
+++ b/crates/hawthornstand/src/gateway/protocol.rs
@@ -56,6 +56,14 @@
         Unknown,
     }
 
+    /// Whether a list must hold the latest changes.
+    #[derive(Copy, Eq)]
+    pub enum ListConsistency {
+        Latest,
+        /// The list may be older, and costs the store less.
+        MayBeStale,
+    }
+
     /// Result of a read of the store.
     #[derive(Eq)]
     pub struct StoreList {
@@ -116,7 +124,7 @@
     /// # Errors
     ///
     /// Returns an error if the store cannot be read.
-    fn list(&self) -> BoxFuture<'_, Result<StoreList, StoreError>>;
+    fn list(&self, consistency: ListConsistency) -> BoxFuture<'_, Result<StoreList, StoreError>>;
     /// Waits for changes after a revision, at most for `wait`.
     ///
     /// # Errors
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -129,7 +129,8 @@
         let refuse = |kind, message: &str| {
             FailedRequest::new(&caller.request_id, Failure::new(kind, message))
         };
-        let Some(active_config) = self.state.active_config() else {
+        let active_config = self.state.active_config().filter(|_| self.state.is_initialized());
+        let Some(active_config) = active_config else {
             return Err(refuse(ErrorKind::NotReady, "no configuration is known yet"));
         };
         let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -117,9 +117,11 @@
         lock(&self.items).changes_since(revision)
     }
 
-    /// Returns whether a configuration is active and a list of the store has been read.
+    /// Returns whether a configuration is active and the store has confirmed this state, to this VM or to another one.
+    ///
+    /// Without a confirmation, the state may be so old that servers and routes in it are gone.
     pub fn is_initialized(&self) -> bool {
-        self.active_config().is_some() && self.as_of() > 0
+        self.active_config().is_some() && self.as_of() > 0 && self.confirmation_age().is_some()
     }
 
     /// Records that the store confirmed this state, `age` ago.
--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::gateway::items::Update;
-use crate::gateway::protocol::{PublishedStore, StoreError, StoreList};
+use crate::gateway::protocol::{ListConsistency, PublishedStore, StoreError, StoreList};
 use crate::gateway::state::PublishedState;
 use crate::gateway::telemetry::Telemetry;
 use crate::ids::Revision;
@@ -15,6 +15,8 @@
 const POLICY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a watch after a failed one: it soon shows whether the store answers again.
 const TRIAL_WATCH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of the watch that follows a list that may be stale: it returns what the list lacks, or nothing at once.
+const CONFIRMING_WATCH_TIMEOUT: Duration = Duration::from_millis(10);
 /// Minimum and maximum backoff after a failed read, before jitter.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
@@ -58,8 +60,10 @@
     let mut backoff = MIN_BACKOFF;
     // The last watch failed, so the next one is short.
     let mut is_trial = false;
+    // The last list may be stale, and no watch has returned what it lacks.
+    let mut is_unconfirmed = false;
     loop {
-        if last_revision.is_some() && !policy.should_read() {
+        if last_revision.is_some() && !is_unconfirmed && !policy.should_read() {
             tokio::time::sleep(POLICY_CHECK_INTERVAL.mul_f64(rand::random_range(0.5..1.5))).await;
             // Changes received over links need not be read again.
             last_revision = last_revision.max(Some(state.as_of()));
@@ -68,9 +72,22 @@
         let after = last_revision;
         telemetry.store_reads.inc();
         let read = match after {
-            None => store.list().await,
+            None => {
+                // A VM with a state has served requests with it and must not fall behind it.
+                is_unconfirmed = state.as_of() == 0;
+                let consistency = if is_unconfirmed {
+                    ListConsistency::MayBeStale
+                } else {
+                    ListConsistency::Latest
+                };
+                store.list(consistency).await
+            }
             Some(revision) => {
-                let timeout = if is_trial { TRIAL_WATCH_TIMEOUT } else { policy.watch_timeout() };
+                let timeout = match (is_unconfirmed, is_trial) {
+                    (true, _) => CONFIRMING_WATCH_TIMEOUT,
+                    (false, true) => TRIAL_WATCH_TIMEOUT,
+                    (false, false) => policy.watch_timeout(),
+                };
                 watch(&state, &*store, revision, timeout).await
             }
         };
@@ -81,14 +98,18 @@
                     log::info!(as_of = list.as_of; "store reachable again");
                 }
                 backoff = MIN_BACKOFF;
-                state.record_confirmation(Duration::ZERO);
+                let is_watch = after.is_some();
+                is_unconfirmed &= !is_watch;
                 let has_changes = !list.changes.is_empty();
                 last_revision = Some(list.as_of.max(after.unwrap_or(0)));
                 state.apply_update(
                     &to_update(list, after, state.store_recently_unreachable()),
                     "store",
                 );
-                if has_changes && after.is_some() {
+                if !is_unconfirmed {
+                    state.record_confirmation(Duration::ZERO);
+                }
+                if has_changes && is_watch {
                     tokio::time::sleep(BATCH_INTERVAL).await;
                 }
             }
--- a/crates/hawthornstand/tests/gateway_links.rs
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -15,7 +15,7 @@
 use hawthornstand::gateway::peer_link;
 use hawthornstand::gateway::peers::Peers;
 use hawthornstand::gateway::protocol::{
-    PublishedKey, PublishedStore, PublishedValue, StoreError, StoreList,
+    ListConsistency, PublishedKey, PublishedStore, PublishedValue, StoreError, StoreList,
 };
 use hawthornstand::gateway::settings::GatewaySettings;
 use hawthornstand::gateway::state::PublishedState;
@@ -32,7 +32,10 @@
 struct UnreachableStore;
 
 impl PublishedStore for UnreachableStore {
-    fn list(&self) -> Pin<Box<dyn Future<Output = Result<StoreList, StoreError>> + Send + '_>> {
+    fn list(
+        &self,
+        _consistency: ListConsistency,
+    ) -> Pin<Box<dyn Future<Output = Result<StoreList, StoreError>> + Send + '_>> {
         Box::pin(std::future::pending())
     }
 
@@ -172,3 +175,21 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert!(second.state.confirmation_age().is_some());
 }
+
+/// Pattern: a change of the configuration in a large fleet. The VM that reads the store announces the change and its
+/// confirmation at once; if the confirmation were lost because the other VM lacks the change, every VM would read the
+/// store itself until the next ping.
+#[tokio::test(start_paused = true)]
+async fn confirmation_that_comes_with_a_change_counts_once_the_change_is_pulled() {
+    let (first, second) = (vm(1), vm(2));
+    let _tasks = link(&first, &second).await;
+    first.state.apply_update(&full_list(7), "store");
+    first.state.record_confirmation(Duration::ZERO);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    first.state.apply_update(&full_list(8), "store");
+    first.state.record_confirmation(Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(second.state.as_of(), 8);
+    let age = second.state.confirmation_age().expect("a confirmation");
+    assert!(age < Duration::from_secs(1), "{age:?}");
+}
--- a/crates/hawthornstand/tests/gateway_listing.rs
+++ b/crates/hawthornstand/tests/gateway_listing.rs
@@ -4,7 +4,7 @@
 
 use hawthornstand::gateway::listing::{Listing, REREGISTRATION_TIMEOUT, expire, on_removal};
 use hawthornstand::gateway::readers::{
-    MAX_CONFIRMATION_AGE, READER_COUNT, SMALL_FLEET, should_read,
+    MAX_CONFIRMATION_AGE, READER_COUNT, SMALL_FLEET, should_read, start_delay,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -62,7 +62,7 @@
     let all = fleet(size);
     let reads_store = |own: &std::net::SocketAddr| {
         let known: Vec<_> = all.iter().filter(|other| *other != own).copied().collect();
-        should_read(*own, &known, confirmation_age)
+        should_read(*own, &known, confirmation_age, false)
     };
     all.iter().filter(|own| reads_store(own)).count()
 }
@@ -80,3 +80,24 @@
 ) {
     assert_eq!(count_readers(size, confirmation_age), expected);
 }
+
+/// Pattern: every VM of a fleet starts at once and knows only the seeds.
+#[rstest]
+#[case::confirmed_by_its_first_read(Some(Duration::ZERO), false)]
+#[case::not_confirmed_yet(None, true)]
+#[case::cut_off_from_the_others(Some(MAX_CONFIRMATION_AGE + Duration::from_millis(1)), true)]
+fn vm_that_starts_leaves_further_reads_to_the_seeds(
+    #[case] confirmation_age: Option<Duration>,
+    #[case] expected: bool,
+) {
+    let all = fleet(4);
+    assert_eq!(should_read(all[0], &all[1..], confirmation_age, true), expected);
+}
+
+#[test]
+fn seeds_and_vms_without_seeds_read_from_their_start_on() {
+    let all = fleet(4);
+    assert_eq!(start_delay(all[0], &all[..3]), Duration::ZERO);
+    assert_eq!(start_delay(all[3], &[]), Duration::ZERO);
+    assert!(start_delay(all[3], &all[..3]) > Duration::ZERO);
+}
