Tell callers that a request has not run wherever no attempt may have run

A request that timed out while it waited for a connection, or whose attempts were all refused or unsent, was answered 502 or 504, which promise nothing. The outcomes of a request now count the attempts that may have run; if there are none, they are sealed, so that none is sent later, and the caller gets 503 with Retry-After.

--- a/crates/hawthornstand/src/gateway/attempt_outcomes.rs
+++ b/crates/hawthornstand/src/gateway/attempt_outcomes.rs
@@ -1,6 +1,7 @@
-//! Outcomes of the attempts of one request: whether any was answered, and which connections broke.
+//! Outcomes of the attempts of one request: whether any may have run, whether any was answered, and which connections
+//! broke.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -13,15 +14,37 @@
 use crate::ids::{Fingerprint, id_text};
 use crate::locks::lock;
 
+/// Value of [`AttemptOutcomes::maybe_run`] after which no attempt may be sent.
+const SEALED: u32 = u32::MAX;
+
 /// Outcomes of all attempts of a request, on all shards.
 #[derive(Default)]
 pub struct AttemptOutcomes {
     answered: AtomicBool,
+    /// Attempts that may have run or may still run, or [`SEALED`].
+    maybe_run: AtomicU32,
     /// Backend servers whose connection broke while the request ran.
     broken: Mutex<Vec<Arc<Server>>>,
 }
 
 impl AttemptOutcomes {
+    /// Records that an attempt is about to be sent; returns whether it may be.
+    pub fn begin_send(&self) -> bool {
+        let increment = |count| (count != SEALED).then(|| count + 1);
+        self.maybe_run.fetch_update(Ordering::AcqRel, Ordering::Acquire, increment).is_ok()
+    }
+
+    /// Records that an attempt that was about to be sent has not run.
+    pub fn record_not_run(&self) {
+        self.maybe_run.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Prevents all further attempts if no attempt may have run; returns whether it did, so that the request has not
+    /// run and never will.
+    pub fn seal_if_not_run(&self) -> bool {
+        self.maybe_run.compare_exchange(0, SEALED, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
     /// Records that a backend server ran the request and answered.
     pub fn record_answered(&self) {
         self.answered.store(true, Ordering::Relaxed);
--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -119,7 +119,7 @@
             Err(error) => return CallOutcome::NotSent(error),
         },
     };
-    if time_budget.is_spent() {
+    if time_budget.is_spent() || !request.attempt_outcomes.begin_send() {
         return CallOutcome::NotSent(ConnectError::Failed);
     }
     let started = Instant::now();
@@ -127,7 +127,10 @@
     let now = Instant::now();
     let (answer, reusable) = match outcome {
         Ok(exchanged) => exchanged,
-        Err(ExchangeError::NotSent) => return CallOutcome::NotSent(ConnectError::Closed),
+        Err(ExchangeError::NotSent) => {
+            request.attempt_outcomes.record_not_run();
+            return CallOutcome::NotSent(ConnectError::Closed);
+        }
         Err(ExchangeError::Broken(reason)) => {
             server.record_broken_call(now);
             request.attempt_outcomes.record_broken(server);
@@ -135,8 +138,11 @@
         }
     };
     match answer.head.kind {
-        AnswerKind::Refused => server.record_refusal(now),
-        AnswerKind::Misdirected => {}
+        AnswerKind::Refused => {
+            request.attempt_outcomes.record_not_run();
+            server.record_refusal(now);
+        }
+        AnswerKind::Misdirected => request.attempt_outcomes.record_not_run(),
         kind => {
             request.attempt_outcomes.record_answered();
             let latency = now.saturating_duration_since(started);
--- a/crates/hawthornstand/src/gateway/forward.rs
+++ b/crates/hawthornstand/src/gateway/forward.rs
@@ -23,6 +23,11 @@
 ) -> Result<Answer, Failure> {
     match attempts::run(service, request, route, time_budget, context).await {
         Ok(answer) => Ok(answer),
+        Err(AttemptsError::TimedOut | AttemptsError::OutcomeUnknown(_))
+            if request.attempt_outcomes.seal_if_not_run() =>
+        {
+            Err(Failure::new(ErrorKind::Overloaded, "no backend server was reached in time"))
+        }
         // A failure that the backend server signed is forwarded as its answer.
         Err(AttemptsError::Failed(answer)) if !answer.head.signature.is_empty() => Ok(*answer),
         Err(AttemptsError::QueueTooLong { expected_wait }) => Err(Failure::new(
