Relays: a few VMs of each region search the shards for the others

Change: VMs report their processor time and failure domain over the links; a tenth of the VMs of each region, those with the most processor time, are relays. A VM hands a search with the names of its shards to a relay of its failure domain over a link of its own, turns to a second relay if it is not accepted within 40 ms, and else runs it itself. Only relays keep connections to the shards, and share most of the extra attempts. Fleets whose VMs can each hold a connection are unchanged.

--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -15,8 +15,11 @@
 use crate::gateway::peer_link;
 use crate::gateway::peers::Peers;
 use crate::gateway::protocol::{HttpProtocol, PublishedStore};
+use crate::gateway::relays::host::RelayHost;
+use crate::gateway::relays::links::RelayLinks;
 use crate::gateway::reload::{SettingsReloader, SettingsSource};
 use crate::gateway::request_handler::{self, RequestHandler};
+use crate::gateway::request_load::RequestLoad;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::state::PublishedState;
 use crate::gateway::store_watch::{self, AlwaysRead, ReadPolicy};
@@ -62,8 +65,7 @@
         protocol,
         telemetry: Arc::clone(&telemetry),
     };
-    let request_handler =
-        Arc::new(RequestHandler::new(Arc::new(SystemClock), context.clone(), Arc::clone(&state)));
+    let load = Arc::new(RequestLoad::default());
     let (stop, stopped) = watch::channel(false);
     // The metrics and readiness listeners run until the process exits.
     let (_never_stop, running) = watch::channel(false);
@@ -71,20 +73,37 @@
     let mut read_policy: Arc<dyn ReadPolicy> = Arc::new(AlwaysRead);
     tokio::spawn(maintenance::run(
         Arc::clone(&state),
-        context,
+        context.clone(),
         TimerService,
         active_settings.clone(),
     ));
+    let mut relays = None;
     if let Some(address) = settings.peer_address {
         let listener = TcpListener::bind(address).await?;
         let link_bytes = telemetry.link_bytes.clone();
         let peers =
             Arc::new(Peers::new(address, &settings, crash_tracker, Arc::clone(&state), link_bytes));
-        tokio::spawn(peer_link::serve(Arc::clone(&peers), listener));
+        let host = Arc::new(RelayHost::new(
+            Arc::new(SystemClock),
+            context.clone(),
+            Arc::clone(&load),
+            Arc::clone(&state),
+        ));
+        tokio::spawn(peer_link::serve(Arc::clone(&peers), Arc::clone(&host), listener));
+        let links = Arc::new(RelayLinks::new(host, Arc::clone(&peers), Arc::clone(&telemetry)));
+        tokio::spawn(Arc::clone(&links).run(TimerService));
+        relays = Some(links);
         tokio::spawn(peer_link::run(Arc::clone(&peers), active_settings.clone()));
         read_policy = peers;
     }
     tokio::spawn(store_watch::run(Arc::clone(&state), store, read_policy, telemetry));
+    let request_handler = Arc::new(RequestHandler {
+        clock: Arc::new(SystemClock),
+        context,
+        load: Arc::clone(&load),
+        relays,
+        state,
+    });
     if let Some(address) = settings.metrics_address {
         serve_metrics(address, Arc::clone(&request_handler), running.clone()).await;
     }
@@ -110,16 +129,16 @@
     terminate.recv().await;
     let grace = active_settings.borrow().grace;
     let end = Instant::now() + grace.mul_f64(1.0 - GRACE_MARGIN_FRACTION);
-    log::info!(running = request_handler.running(); "shutdown started; readiness fails, requests are still served");
-    request_handler.begin_stop();
+    log::info!(running = load.running(); "shutdown started; readiness fails, requests are still served");
+    load.begin_stop();
     tokio::time::sleep(BALANCER_DETECTION_TIME.min(grace / 2)).await;
     stop.send_replace(true);
     let closed = tokio::time::timeout_at(end, serving).await.is_ok();
-    while request_handler.running() > 0 && Instant::now() < end {
+    while load.running() > 0 && Instant::now() < end {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
-    log::info!(running = request_handler.running(), closed = closed; "stopped");
-    Ok(if closed && request_handler.running() == 0 {
+    log::info!(running = load.running(), closed = closed; "stopped");
+    Ok(if closed && load.running() == 0 {
         ShutdownOutcome::Clean
     } else {
         ShutdownOutcome::Interrupted
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -1,10 +1,12 @@
 //! Directory of services and their backend servers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::derives::value_types;
 use crate::gateway::connection_queue::ConnectionQueue;
 use crate::gateway::listing::{self, Listing};
 use crate::gateway::model::{PublishedServer, PublishedService};
@@ -32,6 +34,16 @@
 /// Health path assumed until the settings of the service are published.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
+value_types! {
+    /// Whether this VM searches shards for others, and how many VMs of the fleet do.
+    #[derive(Copy, Default, Eq)]
+    pub struct RelayRole {
+        pub is_relay: bool,
+        /// 0 if every VM searches for itself.
+        pub relays: usize,
+    }
+}
+
 /// A service with its published settings, its backend servers and the state that requests share.
 pub struct Service {
     pub budget: RetryBudget,
@@ -39,6 +51,8 @@
     pub connection_queue: Arc<ConnectionQueue>,
     pub name: ServiceName,
     pub service_time: Arc<ServiceTime>,
+    /// Whether a route searches it as a shard.
+    is_shard: AtomicBool,
     published: Mutex<PublishedService>,
     servers: Mutex<Arc<Vec<Arc<Server>>>>,
 }
@@ -54,6 +68,7 @@
         Self {
             budget: settings.budget(fleet_size, rand::random(), Instant::now()),
             connection_queue: Arc::default(),
+            is_shard: AtomicBool::new(false),
             name: name.to_string(),
             published: Mutex::new(published),
             servers: Mutex::default(),
@@ -71,17 +86,42 @@
         lock(&self.published).health_path.clone()
     }
 
-    /// Returns the number of connections that this VM may hold to each backend server; below 1 there are too few
-    /// for every VM to hold one.
-    pub fn connection_share(&self, fleet_size: usize) -> f64 {
+    /// Returns the number of connections that a VM may hold to each backend server if `vms` share the limit; below 1
+    /// there are too few for each of them to hold one.
+    pub fn connection_share(&self, vms: usize) -> f64 {
+        self.shared_connections() / vms.max(1) as f64
+    }
+
+    /// Returns the number of connections to each backend server that the fleet shares.
+    fn shared_connections(&self) -> f64 {
         lock(&self.published).max_connections as f64 * FLEET_CONNECTION_FRACTION
-            / fleet_size.max(1) as f64
     }
+
+    /// Marks the service as a shard.
+    pub fn mark_as_shard(&self) {
+        self.is_shard.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether only relays hold connections to it: it is a shard, and its limit is too low for every VM.
+    fn is_relayed(&self, fleet_size: usize, role: RelayRole) -> bool {
+        self.is_shard.load(Ordering::Relaxed)
+            && role.relays > 0
+            && self.connection_share(fleet_size) < 1.0
+    }
+}
+
+/// Backend servers of a shard to which a VM keeps connections open.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeptConnections {
+    All,
+    None,
+    OwnRegion,
 }
 
 /// All services, including those without a route, and their backend servers.
 pub struct Directory {
     fleet_size: Mutex<usize>,
+    relay_role: Mutex<RelayRole>,
     /// The service of each backend server, sorted by id of the backend server.
     service_by_server: Mutex<Vec<(LeafId, Arc<Service>)>>,
     /// Sorted by name.
@@ -94,6 +134,7 @@
     pub fn new(settings: GatewaySettings) -> Self {
         Self {
             fleet_size: Mutex::new(settings.assumed_fleet_size),
+            relay_role: Mutex::default(),
             service_by_server: Mutex::default(),
             services: Mutex::default(),
             settings,
@@ -113,6 +154,13 @@
         }
     }
 
+    /// Returns a service; none if it does not exist.
+    pub fn known_service(&self, name: &str) -> Option<Arc<Service>> {
+        let services = lock(&self.services);
+        let index = services.binary_search_by(|service| service.name.as_str().cmp(name)).ok()?;
+        Some(Arc::clone(&services[index]))
+    }
+
     /// Returns every service, sorted by name.
     pub fn services(&self) -> Vec<Arc<Service>> {
         lock(&self.services).clone()
@@ -126,9 +174,53 @@
     /// Sets the number of VMs among which connections and extra attempts are divided.
     pub fn set_fleet_size(&self, fleet_size: usize) {
         *lock(&self.fleet_size) = fleet_size;
-        let slack = self.settings.extra_slack(fleet_size);
+        self.share_limits();
+    }
+
+    /// Returns whether this VM searches shards for others, and how many VMs do.
+    pub fn relay_role(&self) -> RelayRole {
+        *lock(&self.relay_role)
+    }
+
+    /// Sets whether this VM searches shards for others, and how many VMs do.
+    pub fn set_relay_role(&self, role: RelayRole) {
+        let is_changed = std::mem::replace(&mut *lock(&self.relay_role), role) != role;
+        if is_changed {
+            log::info!(is_relay = role.is_relay, relays = role.relays; "role as a relay changed");
+            self.share_limits();
+        }
+    }
+
+    /// Returns whether only relays hold connections to some shard.
+    pub fn has_relayed_shards(&self) -> bool {
+        let (fleet_size, role) = (self.fleet_size(), self.relay_role());
+        role.relays > 0
+            && self.services().iter().any(|service| service.is_relayed(fleet_size, role))
+    }
+
+    /// Returns the number of VMs that may each hold a connection to every backend server of every shard.
+    pub fn max_relays(&self) -> usize {
+        let services = self.services();
+        let shards = services.iter().filter(|service| service.is_shard.load(Ordering::Relaxed));
+        shards.map(|shard| shard.shared_connections() as usize).min().unwrap_or(0)
+    }
+
+    /// Returns whether this VM keeps connections to a shard open, also to its replicas in other regions.
+    pub fn keeps_connections(&self, shard: &Service) -> KeptConnections {
+        let (fleet_size, role) = (self.fleet_size(), self.relay_role());
+        if shard.is_relayed(fleet_size, role) {
+            return if role.is_relay { KeptConnections::All } else { KeptConnections::None };
+        }
+        if shard.connection_share(fleet_size) >= 1.0 {
+            KeptConnections::All
+        } else {
+            KeptConnections::OwnRegion
+        }
+    }
+
+    /// Divides the limits on connections and on extra attempts among the VMs again.
+    fn share_limits(&self) {
         for service in self.services() {
-            service.budget.set_slack(slack);
             self.share_connections(&service);
         }
     }
@@ -254,9 +346,18 @@
         *servers = Arc::new(remaining);
     }
 
-    /// Sets this VM's share of the connections to each backend server of a service.
+    /// Sets this VM's share of the connections to each backend server of a service, and of its extra attempts.
     fn share_connections(&self, service: &Service) {
-        let share = service.connection_share(self.fleet_size());
+        let (fleet_size, role) = (self.fleet_size(), self.relay_role());
+        let is_relayed = service.is_relayed(fleet_size, role);
+        let slack = if is_relayed {
+            self.settings.relayed_slack(fleet_size, role.relays, role.is_relay)
+        } else {
+            self.settings.extra_slack(fleet_size)
+        };
+        service.budget.set_slack(slack);
+        let vms = if is_relayed && role.is_relay { role.relays } else { fleet_size };
+        let share = service.connection_share(vms);
         let servers = service.servers();
         let remaining = servers.iter().filter(|server| server.listing() != Listing::Leaving);
         let nearest = remaining.map(|server| server.proximity).min();
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::attempts::GatewayContext;
-use crate::gateway::directory::Service;
+use crate::gateway::directory::{KeptConnections, Service};
 use crate::gateway::listing::Listing;
 use crate::gateway::routes::Destination;
 use crate::gateway::server::{Proximity, Server};
@@ -25,6 +25,8 @@
 /// Limit on connections opened in advance per interval, so that a start or a repartition does not flood backend
 /// servers.
 const MAX_CONNECTS_PER_INTERVAL: usize = 12;
+/// The same for a relay: there are few of them, and others wait for their connections.
+const MAX_RELAY_CONNECTS_PER_INTERVAL: usize = 32;
 
 /// Runs the maintenance until the process ends.
 pub async fn run(
@@ -87,12 +89,12 @@
     Some(context.protocol.read_health_server_id(response.headers()))
 }
 
-/// Opens a connection to each listed backend server of a shard to which there is none; to one in another region only if
-/// the connection limit allows every VM to hold one.
+/// Opens a connection to each listed backend server of a shard to which this VM keeps one and there is none.
 fn open_in_advance(state: &PublishedState) {
     let Some(active_config) = state.active_config() else { return };
-    let fleet_size = state.directory.fleet_size();
-    let mut left = MAX_CONNECTS_PER_INTERVAL;
+    let is_relay = state.directory.relay_role().is_relay;
+    let mut left =
+        if is_relay { MAX_RELAY_CONNECTS_PER_INTERVAL } else { MAX_CONNECTS_PER_INTERVAL };
     let mut seen: Vec<*const Service> = Vec::new();
     for resolved in active_config.table.all() {
         let Destination::Shards(shards) = &resolved.destination else { continue };
@@ -101,10 +103,14 @@
                 continue;
             }
             seen.push(Arc::as_ptr(shard));
-            let share_allows_all = shard.connection_share(fleet_size) >= 1.0;
+            let kept = state.directory.keeps_connections(shard);
             for server in shard.servers().iter() {
-                let is_near = server.proximity < Proximity::OtherRegion;
-                if left == 0 || !(share_allows_all || is_near) || !needs_connection(server) {
+                let is_kept = match kept {
+                    KeptConnections::All => true,
+                    KeptConnections::None => false,
+                    KeptConnections::OwnRegion => server.proximity < Proximity::OtherRegion,
+                };
+                if left == 0 || !is_kept || !needs_connection(server) {
                     continue;
                 }
                 left -= 1;
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`daemon::run`] starts it. A request passes these modules in order: [`request_handler`] reads it, [`routes`] finds
 //! its route, and [`forward`] or [`scatter`] answers it with [`attempts`], which selects backend servers with
-//! [`server_selection`] and sends the request to them with [`call`].
+//! [`server_selection`] and sends the request to them with [`call`]. In a large fleet, [`relays`] hand searches to the
+//! VMs that hold connections to the shards.
 
 pub mod attempt_outcomes;
 pub mod attempts;
@@ -25,9 +26,11 @@
 pub mod protocol;
 pub mod pulls;
 pub mod readers;
+pub mod relays;
 pub mod reload;
 pub mod request_guard;
 pub mod request_handler;
+pub mod request_load;
 pub mod routes;
 pub mod scatter;
 pub mod server;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -11,11 +11,15 @@
 use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::gateway::peer_messages::PeerMessage;
 use crate::gateway::peers::Peers;
 use crate::gateway::pulls::PullStep;
+use crate::gateway::relays::choice::VmProfile;
+use crate::gateway::relays::host::RelayHost;
+use crate::gateway::relays::messages::RELAY_PATH;
 use crate::gateway::server::Proximity;
 use crate::gateway::settings::GatewaySettings;
 use crate::ids::{LinkId, Revision};
@@ -40,7 +44,9 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
 /// Accepts links from other VMs.
-pub async fn serve(peers: Arc<Peers>, listener: TcpListener) {
+///
+/// A link that is opened at [`RELAY_PATH`] carries searches to `relay_host`.
+pub async fn serve(peers: Arc<Peers>, relay_host: Arc<RelayHost>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -52,14 +58,27 @@
                 continue;
             }
         };
-        let peers = Arc::clone(&peers);
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("cannot set TCP_NODELAY: {error}");
+        }
+        let (peers, relay_host) = (Arc::clone(&peers), Arc::clone(&relay_host));
         tokio::spawn(async move {
-            match tokio::time::timeout(
-                OPEN_TIMEOUT,
-                tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())),
-            )
-            .await
-            {
+            let mut carries_searches = false;
+            // The library defines the type of the error, which this callback never returns.
+            #[allow(clippy::result_large_err)]
+            let accepted = tokio_tungstenite::accept_hdr_async_with_config(
+                stream,
+                |request: &Request, response: Response| {
+                    carries_searches = request.uri().path() == RELAY_PATH;
+                    Ok(response)
+                },
+                Some(socket_config()),
+            );
+            match tokio::time::timeout(OPEN_TIMEOUT, accepted).await {
+                Ok(Ok(socket)) if carries_searches => {
+                    let reason = relay_host.run_link(socket).await;
+                    log::debug!("accepted link for searches closed: {reason}");
+                }
                 Ok(Ok(socket)) => {
                     let reason = run_link(&peers, socket).await;
                     log::debug!("accepted link closed: {reason}");
@@ -85,7 +104,7 @@
 async fn maintain_link(peers: Arc<Peers>) {
     loop {
         if let Some(address) = peers.pick_unlinked() {
-            match tokio::time::timeout(OPEN_TIMEOUT, open(address)).await {
+            match tokio::time::timeout(OPEN_TIMEOUT, open(address, "/")).await {
                 Ok(Ok(socket)) => {
                     log::info!(peer = address.to_string(); "link opened");
                     let reason = tokio::select! {
@@ -124,13 +143,14 @@
     known_at_open * 2 <= known && known > LINKS_PER_VM
 }
 
-/// Opens a WebSocket connection to another VM.
-async fn open(
+/// Opens a WebSocket connection to a path of another VM.
+pub async fn open(
     address: SocketAddr,
+    path: &str,
 ) -> Result<WebSocketStream<TcpStream>, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let url = format!("ws://{address}/");
+    let url = format!("ws://{address}{path}");
     let (socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream, Some(socket_config())).await?;
     Ok(socket)
@@ -151,6 +171,7 @@
     let mut link = Link {
         addresses_due: None,
         announced_addresses: Vec::new(),
+        announced_profiles: Vec::new(),
         announced_revision: 0,
         id,
         last_received: Instant::now(),
@@ -184,6 +205,8 @@
     addresses_due: Option<Instant>,
     /// Addresses that were sent or received on this link, sorted.
     announced_addresses: Vec<SocketAddr>,
+    /// Profiles that were last sent on this link.
+    announced_profiles: Vec<VmProfile>,
     /// Revision that was last sent on this link.
     announced_revision: Revision,
     id: LinkId,
@@ -201,14 +224,18 @@
     async fn run(&mut self) -> Result<(), String> {
         let mut revision = self.peers.state.subscribe();
         let mut known = self.peers.known_addresses.subscribe();
+        let mut profiles = self.peers.profiles.subscribe();
         let mut crash_reports = self.peers.crash_tracker.subscribe();
         self.announced_addresses = known.borrow_and_update().clone();
+        profiles.mark_unchanged();
+        self.announced_profiles = self.peers.reported_profiles();
         self.announced_revision = self.peers.state.as_of();
         self.send(&PeerMessage::Hello {
             address: self.peers.own_address,
             as_of: self.announced_revision,
             failure_domain: self.peers.location.failure_domain.clone(),
             known: self.announced_addresses.clone(),
+            profiles: self.announced_profiles.clone(),
         })
         .await?;
         for crashes in self.peers.crash_tracker.reports() {
@@ -232,6 +259,10 @@
                     Ok(crashes) => self.send(&PeerMessage::Crashed { crashes }).await?,
                     Err(error) => log::warn!("crash reports not sent to a VM: {error}"),
                 },
+                _ = profiles.changed() => {
+                    profiles.mark_unchanged();
+                    self.addresses_due.get_or_insert(Instant::now() + ADDRESS_BATCH_DELAY);
+                }
                 _ = known.changed() => {
                     known.borrow_and_update();
                     self.addresses_due.get_or_insert(Instant::now() + ADDRESS_BATCH_DELAY);
@@ -275,15 +306,19 @@
         }
     }
 
-    /// Sends the known addresses that were neither sent nor received on this link.
+    /// Sends the known addresses that were neither sent nor received on this link, and the profiles that have changed.
     async fn announce_addresses(&mut self) -> Result<(), String> {
         let mut new = self.peers.known_addresses.borrow().clone();
         new.retain(|address| self.announced_addresses.binary_search(address).is_err());
-        if new.is_empty() {
+        let profiles = self.peers.reported_profiles();
+        let mut changed = profiles.clone();
+        changed.retain(|profile| !self.announced_profiles.contains(profile));
+        self.announced_profiles = profiles;
+        if new.is_empty() && changed.is_empty() {
             return Ok(());
         }
         self.mark_announced(&new);
-        self.send(&PeerMessage::Known { known: new }).await
+        self.send(&PeerMessage::Known { known: new, profiles: changed }).await
     }
 
     /// Records addresses that the other VM knows.
@@ -304,14 +339,16 @@
             PeerMessage::Crashed { crashes } => {
                 peers.crash_tracker.record(&crashes, Instant::now());
             }
-            PeerMessage::Hello { address, as_of, failure_domain, mut known } => {
+            PeerMessage::Hello { address, as_of, failure_domain, mut known, profiles } => {
+                peers.add_profiles(profiles);
                 self.proximity = peers.location.proximity(&failure_domain);
                 known.push(address);
                 peers.add_reported(&known);
                 self.mark_announced(&known);
                 peers.pulls.record_offer(self.id, self.proximity, as_of);
             }
-            PeerMessage::Known { known } => {
+            PeerMessage::Known { known, profiles } => {
+                peers.add_profiles(profiles);
                 self.mark_announced(&known);
                 peers.add_reported(&known);
             }
--- a/crates/hawthornstand/src/gateway/peer_messages.rs
+++ b/crates/hawthornstand/src/gateway/peer_messages.rs
@@ -7,6 +7,7 @@
 use crate::derives::value_types;
 use crate::gateway::crash_tracker::CrashReport;
 use crate::gateway::items::Update;
+use crate::gateway::relays::choice::VmProfile;
 use crate::ids::Revision;
 
 value_types! {
@@ -16,9 +17,21 @@
         /// Reports backend servers that crashed while they ran a request.
         Crashed { crashes: CrashReport },
         /// First message in each direction: introduces the sender, its revision and the VMs it knows.
-        Hello { address: SocketAddr, as_of: Revision, failure_domain: String, known: Vec<SocketAddr> },
-        /// Addresses of VMs that the receiver may not know.
-        Known { known: Vec<SocketAddr> },
+        Hello {
+            address: SocketAddr,
+            as_of: Revision,
+            failure_domain: String,
+            known: Vec<SocketAddr>,
+            /// The VMs that the sender takes for the best relays of each region, and itself.
+            #[serde(default)]
+            profiles: Vec<VmProfile>,
+        },
+        /// Addresses of VMs that the receiver may not know, and profiles of relays.
+        Known {
+            known: Vec<SocketAddr>,
+            #[serde(default)]
+            profiles: Vec<VmProfile>,
+        },
         /// Answers a pull with the changes after its revision.
         News { update: Update },
         /// Announces the sender's revision and the time since the store last confirmed it.
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use crate::gateway::peer_messages::PeerMessage;
 use crate::gateway::pulls::PullScheduler;
 use crate::gateway::readers;
+use crate::gateway::relays::choice::{self, VmProfile};
 use crate::gateway::settings::{GatewaySettings, Location};
 use crate::gateway::state::PublishedState;
 use crate::gateway::store_watch::ReadPolicy;
@@ -29,6 +30,8 @@
     pub known_addresses: watch::Sender<Vec<SocketAddr>>,
     pub location: Location,
     pub own_address: SocketAddr,
+    /// Profiles of VMs that may be relays, also of ones that are gone; sorted by address.
+    pub profiles: watch::Sender<Vec<VmProfile>>,
     pub pulls: PullScheduler,
     pub state: Arc<PublishedState>,
     link_bytes: Counter,
@@ -53,6 +56,11 @@
             known_addresses: watch::Sender::default(),
             location: settings.location.clone(),
             own_address,
+            profiles: watch::Sender::new(vec![VmProfile {
+                address: own_address,
+                cpu_millicores: settings.cpu_millicores,
+                failure_domain: settings.location.failure_domain.clone(),
+            }]),
             pulls: PullScheduler::default(),
             state,
             link_bytes,
@@ -99,6 +107,23 @@
         }
     }
 
+    /// Returns the known profiles, sorted by address.
+    pub fn profiles(&self) -> Vec<VmProfile> {
+        self.profiles.borrow().clone()
+    }
+
+    /// Adds profiles received on a link.
+    pub fn add_profiles(&self, mut reported: Vec<VmProfile>) {
+        // What this VM knows of itself is newer.
+        reported.retain(|profile| profile.address != self.own_address);
+        self.profiles.send_if_modified(|known| choice::merge(known, reported));
+    }
+
+    /// Returns the profiles to report to others: the best relays of each region, and this VM.
+    pub fn reported_profiles(&self) -> Vec<VmProfile> {
+        choice::reported(&self.profiles.borrow(), &self.location, self.own_address)
+    }
+
     /// Picks a random VM without a link from here, and reserves it for a new link; none if there is none.
     pub fn pick_unlinked(&self) -> Option<SocketAddr> {
         let mut linked = lock(&self.linked);
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -1,7 +1,7 @@
 //! Handles the requests of callers: finds the route and forwards the request or scatters it to every shard.
 
+use std::borrow::Cow;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,8 +15,11 @@
 use crate::gateway::attempt_outcomes::AttemptOutcomes;
 use crate::gateway::attempts::GatewayContext;
 use crate::gateway::call::{Answer, OutboundRequest};
+use crate::gateway::directory::Service;
 use crate::gateway::model::{Route, Target};
+use crate::gateway::relays::links::{RelayLinks, RelayResult, SearchOffer};
 use crate::gateway::request_guard::RequestGuard;
+use crate::gateway::request_load::RequestLoad;
 use crate::gateway::routes::{Destination, ResolvedRoute};
 use crate::gateway::scatter::MergedAnswer;
 use crate::gateway::state::PublishedState;
@@ -52,39 +55,16 @@
 pub struct RequestHandler {
     pub clock: Arc<dyn Clock>,
     pub context: GatewayContext,
+    pub load: Arc<RequestLoad>,
+    /// None if this VM has no links to others.
+    pub relays: Option<Arc<RelayLinks>>,
     pub state: Arc<PublishedState>,
-    running: AtomicU64,
-    stopping: AtomicBool,
-}
-
-/// Counts a request as running until it is dropped.
-struct RunningRequest<'a>(&'a AtomicU64);
-
-impl Drop for RunningRequest<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 impl RequestHandler {
-    /// Creates a handler with no running requests.
-    pub fn new(clock: Arc<dyn Clock>, context: GatewayContext, state: Arc<PublishedState>) -> Self {
-        Self { clock, context, state, running: AtomicU64::new(0), stopping: AtomicBool::new(false) }
-    }
-
-    /// Returns the number of running requests.
-    pub fn running(&self) -> u64 {
-        self.running.load(Ordering::Relaxed)
-    }
-
-    /// Fails readiness and asks callers to close their connections from now on.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
     /// Returns whether the load balancer may send callers to this VM.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.state.is_initialized()
+        !self.load.is_stopping() && self.state.is_initialized()
     }
 
     /// Returns the limits for a new connection.
@@ -98,8 +78,7 @@
 
     /// Answers one request and counts its outcome.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let _running = RunningRequest(&self.running);
+        let _running = self.load.begin();
         let time_budget = TimeBudget::start(Arc::clone(&self.clock), Duration::MAX);
         let result = self.answer(request).await;
         let mut response = match result {
@@ -107,7 +86,7 @@
             Err(failed) => failed.respond(&time_budget),
         };
         self.context.telemetry.record_request(outcome(&response), time_budget.spent());
-        if self.stopping.load(Ordering::Relaxed) {
+        if self.load.is_stopping() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -168,7 +147,7 @@
             return Err(FailedRequest::new(&caller.request_id, failure));
         }
         let guard = RequestGuard::new(&outbound, fingerprint, &time_budget, &self.context);
-        let result = self.dispatch(resolved, &outbound, &time_budget).await;
+        let result = self.dispatch(resolved, &outbound, fingerprint, &time_budget).await;
         guard.mark_answered();
         result.map_err(|failure| FailedRequest::new(&caller.request_id, failure))
     }
@@ -178,14 +157,14 @@
         &self,
         resolved: &ResolvedRoute,
         request: &Arc<OutboundRequest>,
+        fingerprint: Fingerprint,
         time_budget: &TimeBudget,
     ) -> Result<Response<Full<Bytes>>, Failure> {
         let route = &resolved.route;
         match (&resolved.destination, &route.target) {
             (Destination::Shards(shards), Target::Shards(shard_set)) => {
-                let merged =
-                    scatter::run(route, shard_set, shards, request, time_budget, &self.context)
-                        .await?;
+                let offer = SearchOffer { fingerprint, request, route, shard_set, time_budget };
+                let merged = self.search(&offer, shards).await?;
                 if !merged.missing.is_empty() {
                     self.context.telemetry.partial_answers.inc();
                     log::info!(
@@ -216,6 +195,33 @@
         }
     }
 
+    /// Returns the answer to a search, from a relay or from the shards.
+    async fn search(
+        &self,
+        offer: &SearchOffer<'_>,
+        shards: &[Arc<Service>],
+    ) -> Result<MergedAnswer, Failure> {
+        let result = match &self.relays {
+            Some(relays) => relays.search(offer).await,
+            None => RelayResult::NotAnswered { may_have_run: false },
+        };
+        let may_have_run = match result {
+            RelayResult::Answered(merged) => return Ok(merged),
+            RelayResult::Failed(failure) => return Err(failure),
+            RelayResult::NotAnswered { may_have_run } => may_have_run,
+        };
+        let mut route = Cow::Borrowed(offer.route);
+        if may_have_run {
+            // The relay's attempts count against the limits on attempts.
+            route.to_mut().max_attempts = offer.route.max_attempts.saturating_sub(1).max(1);
+            for shard in shards {
+                shard.budget.charge(Instant::now());
+            }
+        }
+        let (set, time_budget) = (offer.shard_set, offer.time_budget);
+        scatter::run(&route, set, shards, offer.request, time_budget, &self.context).await
+    }
+
     /// Builds the response to a search from the merged answer.
     fn merged_response(&self, merged: MergedAnswer) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(merged.body));
@@ -353,7 +359,8 @@
     if request.uri().path() != STATUS_PATH {
         return Response::new(Full::from(handler.context.telemetry.encode()));
     }
-    match serde_json::to_vec(&status::describe(&handler.state)) {
+    let relays = handler.relays.as_ref().map(|relays| relays.addresses()).unwrap_or_default();
+    match serde_json::to_vec(&status::describe(&handler.state, relays)) {
         Ok(json) => Response::new(Full::from(json)),
         Err(error) => {
             log::warn!("status cannot be written: {error}");
--- a/crates/hawthornstand/src/gateway/scatter.rs
+++ b/crates/hawthornstand/src/gateway/scatter.rs
@@ -18,6 +18,7 @@
 use crate::ids::ServiceName;
 
 /// Merged answer to a search.
+#[derive(Debug)]
 pub struct MergedAnswer {
     pub body: Bytes,
     /// Shards without a part in the answer.
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -13,6 +13,8 @@
 const RATIO_MARGIN: f64 = 0.85;
 /// Part of the published slack that the whole fleet uses: a VM that is replaced within the window uses its share twice.
 const SLACK_MARGIN: f64 = 0.5;
+/// Part of that slack that relays share for the shards they search; the rest is for VMs that reach no relay.
+const RELAY_SLACK_FRACTION: f64 = 0.75;
 
 value_types! {
     /// Failure domain and region of this VM, and the regions of all failure domains.
@@ -39,6 +41,8 @@
         /// Number of VMs assumed until links report the others.
         pub assumed_fleet_size: usize,
         pub caller_address: SocketAddr,
+        /// Processor time that the VM may use, in thousandths of a core.
+        pub cpu_millicores: u32,
         /// Time after which a leaving backend server must not get new requests.
         pub drain: Duration,
         pub extra_attempts: ExtraAttemptBounds,
@@ -55,6 +59,24 @@
     }
 }
 
+impl Location {
+    /// Returns the region of a failure domain; none if it is unknown.
+    pub fn region_of(&self, failure_domain: &str) -> Option<&str> {
+        let found =
+            self.regions.binary_search_by(|(domain, _)| domain.as_str().cmp(failure_domain));
+        found.ok().map(|index| self.regions[index].1.as_str())
+    }
+
+    /// Returns the number of regions.
+    pub fn region_count(&self) -> usize {
+        let mut regions: Vec<&str> =
+            self.regions.iter().map(|(_, region)| region.as_str()).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions.len()
+    }
+}
+
 impl GatewaySettings {
     /// Returns the names of the settings that differ and take effect only after a restart; time limits and seeds take
     /// effect immediately.
@@ -96,4 +118,14 @@
     pub fn extra_slack(&self, fleet_size: usize) -> f64 {
         self.extra_attempts.slack * SLACK_MARGIN / fleet_size.max(1) as f64
     }
+
+    /// Returns this VM's share of the same for the shards that `relays` VMs search for the others.
+    pub fn relayed_slack(&self, fleet_size: usize, relays: usize, is_relay: bool) -> f64 {
+        let all = self.extra_slack(1);
+        let of_every_vm = all * (1.0 - RELAY_SLACK_FRACTION) / fleet_size.max(1) as f64;
+        if !is_relay {
+            return of_every_vm;
+        }
+        of_every_vm + all * RELAY_SLACK_FRACTION / relays.max(1) as f64
+    }
 }
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -253,7 +253,14 @@
                 Destination::Weighted(WeightedRoundRobin::new(weighted, self.rotation_offset))
             }
             Target::Shards(set) => Destination::Shards(
-                set.services.iter().map(|name| self.directory.service(name)).collect(),
+                set.services
+                    .iter()
+                    .map(|name| {
+                        let shard = self.directory.service(name);
+                        shard.mark_as_shard();
+                        shard
+                    })
+                    .collect(),
             ),
         };
         let services = match &destination {
--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -1,5 +1,7 @@
 //! Status of a VM for operators, served as JSON.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -14,6 +16,15 @@
     pub config_version: Option<u64>,
     /// Number of known VMs, including this one.
     pub fleet: usize,
+    /// Whether this VM searches shards for others.
+    #[serde(default)]
+    pub is_relay: bool,
+    /// Number of VMs of the fleet that do; 0 if every VM searches for itself.
+    #[serde(default)]
+    pub relays: usize,
+    /// Relays to which this VM sends its searches, in the order of use.
+    #[serde(default)]
+    pub linked_relays: Vec<SocketAddr>,
     /// Revision of the store up to which the state of this VM is complete.
     pub as_of: Revision,
     /// Time since the store last confirmed this state, to this VM or to another one; none if it never did.
@@ -57,7 +68,7 @@
 }
 
 /// Returns the status of this VM.
-pub fn describe(state: &PublishedState) -> GatewayStatus {
+pub fn describe(state: &PublishedState, linked_relays: Vec<SocketAddr>) -> GatewayStatus {
     let now = Instant::now();
     let mut services = Vec::new();
     for service in state.directory.services() {
@@ -81,9 +92,13 @@
         let name = service.name.clone();
         services.push(ServiceStatus { name, requests_in_window, extra_in_window, servers });
     }
+    let role = state.directory.relay_role();
     GatewayStatus {
         config_version: state.active_config().map(|config| config.version),
         fleet: state.directory.fleet_size(),
+        is_relay: role.is_relay,
+        relays: role.relays,
+        linked_relays,
         as_of: state.as_of(),
         confirmed_ms_ago: state.confirmation_age().map(|age| age.as_millis() as u64),
         store_away: state.store_reachable_since().is_none(),
--- a/crates/hawthornstand/src/gateway/time_budget.rs
+++ b/crates/hawthornstand/src/gateway/time_budget.rs
@@ -22,6 +22,12 @@
         Self { clock, started, total }
     }
 
+    /// Continues a budget that was started on another VM, `spent` ago.
+    pub fn resume(clock: Arc<dyn Clock>, spent: Duration, total: Duration) -> Self {
+        let started = clock.since_boot().saturating_sub(spent);
+        Self { clock, started, total }
+    }
+
     /// Returns the time since the start.
     pub fn spent(&self) -> Duration {
         self.clock.since_boot().saturating_sub(self.started)
--- a/crates/hawthornstand/src/policy/budget.rs
+++ b/crates/hawthornstand/src/policy/budget.rs
@@ -89,6 +89,12 @@
         true
     }
 
+    /// Records an extra attempt that was sent without asking the budget.
+    pub fn charge(&self, now: Instant) {
+        let number = self.bucket_number(now);
+        bucket_mut(&mut lock(&self.buckets), number).extra += 1;
+    }
+
     /// Refunds an extra attempt that was not sent; one that has left the window stays spent.
     pub fn refund(&self, now: Instant) {
         let number = self.bucket_number(now);
--- a/crates/hawthornstand/src/process/gateway_text.rs
+++ b/crates/hawthornstand/src/process/gateway_text.rs
@@ -19,6 +19,7 @@
     let _ = writeln!(text, "last known store revision: {}, {confirmed}", status.as_of);
     let store = if status.store_away { "does not answer" } else { "answers" };
     let _ = writeln!(text, "store {store}; {} known VMs", status.fleet);
+    let _ = writeln!(text, "{}", relay_line(status));
     for service in &status.services {
         let _ = writeln!(text, "\n{}", service_summary(service));
         for server in service.servers.iter().filter(|server| server.availability != USABLE) {
@@ -28,6 +29,24 @@
     text.trim_end().to_string()
 }
 
+/// Returns the line that tells who searches the shards.
+fn relay_line(status: &GatewayStatus) -> String {
+    if status.relays == 0 {
+        return "searches: run by every VM".to_string();
+    }
+    if status.is_relay {
+        return format!(
+            "searches: run here, and for others; {} relays in the fleet",
+            status.relays
+        );
+    }
+    let linked: Vec<String> = status.linked_relays.iter().map(ToString::to_string).collect();
+    if linked.is_empty() {
+        return format!("searches: run here, no link to one of {} relays", status.relays);
+    }
+    format!("searches: handed to {}; {} relays in the fleet", linked.join(", "), status.relays)
+}
+
 /// Formats one service with all of its backend servers.
 pub fn service(service: &ServiceStatus) -> String {
     let mut text = service_summary(service);
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -26,6 +26,9 @@
     GatewayStatus {
         config_version: Some(12),
         fleet: 9,
+        is_relay: false,
+        relays: 4,
+        linked_relays: vec![([10, 0, 0, 2], 8224).into(), ([10, 0, 0, 3], 8224).into()],
         as_of: 4711,
         confirmed_ms_ago: Some(820),
         store_away: true,
