Relays: count their attempts, and open connections only once the fleet is known

After all VMs lost power, each took itself for one of 12 and opened connections to every server: resets over the limit went on for 6 s.

Change: each relay that may have run a search takes an attempt from the next; a search whose relays were lost while they ran it fails at once. Connections are opened in advance 1 s after the start, by when the first addresses are exchanged (in 0.2 s batches now); VMs that are no relays close theirs. A VM without a configuration asks callers to come back after 0.3 s instead of 1 s.

--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -358,6 +358,11 @@
         service.budget.set_slack(slack);
         let vms = if is_relayed && role.is_relay { role.relays } else { fleet_size };
         let share = service.connection_share(vms);
+        if is_relayed && !role.is_relay {
+            for server in service.servers().iter() {
+                server.pool.close_idle();
+            }
+        }
         let servers = service.servers();
         let remaining = servers.iter().filter(|server| server.listing() != Listing::Leaving);
         let nearest = remaining.map(|server| server.proximity).min();
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -22,6 +22,9 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time allowed for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after its start within which a VM learns how many others there are. Connections opened in advance before would
+/// be too many: in a fleet that starts at once, every VM would take itself for one of a few.
+const FLEET_DISCOVERY_TIME: Duration = Duration::from_millis(1000);
 /// Limit on connections opened in advance per interval, so that a start or a repartition does not flood backend
 /// servers.
 const MAX_CONNECTS_PER_INTERVAL: usize = 12;
@@ -36,11 +39,14 @@
     settings: watch::Receiver<GatewaySettings>,
 ) {
     let mut ticks = timer.subscribe(MAINTENANCE_INTERVAL);
+    let open_from = Instant::now() + FLEET_DISCOVERY_TIME;
     while ticks.next().await.is_some() {
         let drain = settings.borrow().drain;
         state.expire_entries(drain);
         probe_unresponsive(&state, &context);
-        open_in_advance(&state);
+        if Instant::now() >= open_from {
+            open_in_advance(&state);
+        }
     }
 }
 
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -35,6 +35,10 @@
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which newly known addresses are collected into one message.
 const ADDRESS_BATCH_DELAY: Duration = Duration::from_secs(1);
+/// The same soon after the start of a VM, so that it learns the size of its fleet quickly.
+const FIRST_ADDRESS_BATCH_DELAY: Duration = Duration::from_millis(200);
+/// Time after its start within which a VM sends newly known addresses sooner.
+const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 /// Time without a received message after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum delay before a link that was opened while few VMs were known is closed in favor of another one; each
@@ -261,11 +265,11 @@
                 },
                 _ = profiles.changed() => {
                     profiles.mark_unchanged();
-                    self.addresses_due.get_or_insert(Instant::now() + ADDRESS_BATCH_DELAY);
+                    self.addresses_due.get_or_insert(Instant::now() + self.address_batch_delay());
                 }
                 _ = known.changed() => {
                     known.borrow_and_update();
-                    self.addresses_due.get_or_insert(Instant::now() + ADDRESS_BATCH_DELAY);
+                    self.addresses_due.get_or_insert(Instant::now() + self.address_batch_delay());
                 }
                 () = tokio::time::sleep_until(wake_at) => {}
             }
@@ -321,6 +325,15 @@
         self.send(&PeerMessage::Known { known: new, profiles: changed }).await
     }
 
+    /// Returns the time for which newly known addresses are collected.
+    fn address_batch_delay(&self) -> Duration {
+        if self.peers.started.elapsed() < DISCOVERY_TIME {
+            FIRST_ADDRESS_BATCH_DELAY
+        } else {
+            ADDRESS_BATCH_DELAY
+        }
+    }
+
     /// Records addresses that the other VM knows.
     fn mark_announced(&mut self, addresses: &[SocketAddr]) {
         self.announced_addresses.extend_from_slice(addresses);
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -33,6 +33,7 @@
     /// Profiles of VMs that may be relays, also of ones that are gone; sorted by address.
     pub profiles: watch::Sender<Vec<VmProfile>>,
     pub pulls: PullScheduler,
+    pub started: Instant,
     pub state: Arc<PublishedState>,
     link_bytes: Counter,
     /// Addresses to which this VM has a link open or is opening one.
@@ -62,6 +63,7 @@
                 failure_domain: settings.location.failure_domain.clone(),
             }]),
             pulls: PullScheduler::default(),
+            started: Instant::now(),
             state,
             link_bytes,
             linked: Mutex::default(),
--- a/crates/hawthornstand/src/gateway/relays/links.rs
+++ b/crates/hawthornstand/src/gateway/relays/links.rs
@@ -45,6 +45,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time within which a relay accepts a search: a round trip within the region and a pause of a busy process.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time for reading what has arrived before a timer fired.
+const UNREAD_TIMEOUT: Duration = Duration::from_millis(2);
+/// Attempts on each shard that a relay may have made of a search that it did not accept in time, which is cancelled.
+const ATTEMPTS_UNACCEPTED: u32 = 1;
+/// The same of a search that it accepted: an attempt and a hedge.
+const ATTEMPTS_ACCEPTED: u32 = 2;
 /// Time without a message from a relay that runs a search after which it counts as silent: three of its pings.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which a relay that did not accept a search is not used, before it doubles.
@@ -148,10 +154,7 @@
             return event;
         }
         // After a pause of this VM, the timer fires before what has arrived meanwhile is read.
-        for _ in 0..3 {
-            tokio::task::yield_now().await;
-        }
-        self.events.try_recv().ok()
+        tokio::time::timeout(UNREAD_TIMEOUT, self.events.recv()).await.ok().flatten()
     }
 }
 
@@ -159,9 +162,9 @@
 pub enum RelayResult {
     Answered(MergedAnswer),
     Failed(Failure),
-    /// No relay answered; this VM runs the search. A relay may have begun to run it if `may_have_run`.
+    /// No relay answered. Relays may have made this many attempts on each shard.
     NotAnswered {
-        may_have_run: bool,
+        attempts: u32,
     },
 }
 
@@ -175,12 +178,13 @@
 }
 
 impl SearchOffer<'_> {
-    fn to_message(&self) -> RelayedSearch {
+    /// Returns the search as a relay gets it after others may have made some attempts.
+    fn to_message(&self, attempts: u32) -> RelayedSearch {
         RelayedSearch {
             body: self.request.body.clone(),
             fingerprint: self.fingerprint,
             headers: header_list(&self.request.headers),
-            max_attempts: self.route.max_attempts,
+            max_attempts: self.route.max_attempts.saturating_sub(attempts).max(1),
             method: self.request.method.to_string(),
             min_shard_fraction: self.shard_set.min_shard_fraction,
             priority: self.route.priority,
@@ -347,21 +351,21 @@
 
     /// Offers a search to the relays.
     pub async fn search(&self, offer: &SearchOffer<'_>) -> RelayResult {
-        let mut may_have_run = false;
+        let mut attempts = 0;
         let links: Vec<Arc<RelayLink>> = lock(&self.links).clone();
         let mut offers = 0;
         for link in &links {
             if offers == LINKS_PER_VM || !link.is_usable(Instant::now()) {
                 continue;
             }
-            let Some(mut pending) = self.send(link, offer) else { continue };
+            let Some(mut pending) = self.send(link, offer, attempts) else { continue };
             offers += 1;
             match pending.next(Instant::now() + ACCEPT_TIMEOUT).await {
                 Some(SearchEvent::Accepted) => {
                     lock(&link.avoidance).failures = 0;
                     offer.log("handed to a relay", link.address);
                     self.telemetry.relayed_searches.inc();
-                    return self.wait_for_answer(pending, offer).await;
+                    return self.wait_for_answer(pending, offer, attempts).await;
                 }
                 Some(SearchEvent::Refused) => {
                     pending.has_ended = true;
@@ -369,7 +373,7 @@
                     offer.log("refused by a relay", link.address);
                 }
                 Some(SearchEvent::Answered(_) | SearchEvent::Failed(_)) | None => {
-                    may_have_run = true;
+                    attempts += ATTEMPTS_UNACCEPTED;
                     offer.log("not accepted by a relay in time", link.address);
                 }
             }
@@ -378,11 +382,16 @@
         if offers > 0 {
             self.telemetry.relay_failures.inc();
         }
-        RelayResult::NotAnswered { may_have_run }
+        RelayResult::NotAnswered { attempts }
     }
 
     /// Sends a search to a relay; none if the link is stuck or the request may not be sent any more.
-    fn send<'a>(&self, link: &'a RelayLink, offer: &SearchOffer<'_>) -> Option<PendingSearch<'a>> {
+    fn send<'a>(
+        &self,
+        link: &'a RelayLink,
+        offer: &SearchOffer<'_>,
+        attempts: u32,
+    ) -> Option<PendingSearch<'a>> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (sender, events) = mpsc::unbounded_channel();
         {
@@ -391,7 +400,7 @@
             pending.insert(index, (id, sender));
         }
         let mut pending = PendingSearch { events, has_ended: true, id, link };
-        let search = Box::new(offer.to_message());
+        let search = Box::new(offer.to_message(attempts));
         link.outgoing.try_send(RelayMessage::Search { id, search }).ok()?;
         pending.has_ended = false;
         offer.request.attempt_outcomes.begin_send().then_some(pending)
@@ -402,6 +411,7 @@
         &self,
         mut pending: PendingSearch<'_>,
         offer: &SearchOffer<'_>,
+        attempts: u32,
     ) -> RelayResult {
         let deadline = offer.time_budget.deadline();
         let link = pending.link;
@@ -432,7 +442,7 @@
                     link.avoid(Instant::now());
                     offer.log("the relay was lost while it ran the search", link.address);
                     self.telemetry.relay_failures.inc();
-                    return RelayResult::NotAnswered { may_have_run: true };
+                    return RelayResult::NotAnswered { attempts: attempts + ATTEMPTS_ACCEPTED };
                 }
             }
         }
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -42,6 +42,11 @@
     header::UPGRADE,
 ];
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Time after which a search whose relays were lost may be sent again: others are used at once.
+const RELAY_LOST_RETRY_AFTER: Duration = Duration::from_millis(10);
+/// Time after which a caller may come back to a fleet whose VMs have just started: one that reaches the store is ready
+/// within about this time.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Path of the status on the listener for metrics.
 const STATUS_PATH: &str = "/status";
 /// Limits that apply until a configuration is active.
@@ -110,7 +115,9 @@
         };
         let active_config = self.state.active_config().filter(|_| self.state.is_initialized());
         let Some(active_config) = active_config else {
-            return Err(refuse(ErrorKind::NotReady, "no configuration is known yet"));
+            let failure = Failure::new(ErrorKind::NotReady, "no configuration is known yet")
+                .with_retry_after_ms(NOT_READY_RETRY_AFTER.as_millis() as u64);
+            return Err(FailedRequest::new(&caller.request_id, failure));
         };
         let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = parts.uri.host().or(host).unwrap_or("").to_string();
@@ -203,17 +210,23 @@
     ) -> Result<MergedAnswer, Failure> {
         let result = match &self.relays {
             Some(relays) => relays.search(offer).await,
-            None => RelayResult::NotAnswered { may_have_run: false },
+            None => RelayResult::NotAnswered { attempts: 0 },
         };
-        let may_have_run = match result {
+        let attempts = match result {
             RelayResult::Answered(merged) => return Ok(merged),
             RelayResult::Failed(failure) => return Err(failure),
-            RelayResult::NotAnswered { may_have_run } => may_have_run,
+            RelayResult::NotAnswered { attempts } => attempts,
         };
         let mut route = Cow::Borrowed(offer.route);
-        if may_have_run {
-            // The relay's attempts count against the limits on attempts.
-            route.to_mut().max_attempts = offer.route.max_attempts.saturating_sub(1).max(1);
+        if attempts > 0 {
+            // The relays' attempts count against the limits on attempts.
+            let left = offer.route.max_attempts.saturating_sub(attempts);
+            if left == 0 {
+                let message = "the VMs that searched the shards were lost";
+                return Err(Failure::new(ErrorKind::OutcomeUnknown, message)
+                    .with_retry_after_ms(RELAY_LOST_RETRY_AFTER.as_millis() as u64));
+            }
+            route.to_mut().max_attempts = left;
             for shard in shards {
                 shard.budget.charge(Instant::now());
             }
