Relays: keep the last attempt of a search for the VM that took it

Two relays that had not accepted a search left no attempt of a route that allows two, and the caller got 502. Found by searches_are_answered_when_every_relay_is_killed_or_frozen.

--- a/crates/hawthornstand/src/gateway/relays/links.rs
+++ b/crates/hawthornstand/src/gateway/relays/links.rs
@@ -358,6 +358,10 @@
             if offers == LINKS_PER_VM || !link.is_usable(Instant::now()) {
                 continue;
             }
+            if attempts > 0 && attempts + ATTEMPTS_UNACCEPTED >= offer.route.max_attempts {
+                // The attempt that is left is for this VM.
+                break;
+            }
             let Some(mut pending) = self.send(link, offer, attempts) else { continue };
             offers += 1;
             match pending.next(Instant::now() + ACCEPT_TIMEOUT).await {
