Bound what endless answers of backend servers cost the process

Cause, shown by platform/tests/endless_answers.rs before the change: bodies without end on the parts of a few searches took a VM to 429 MB (each of them may hold 16 MiB; the smallest VMs have 160 MB), and interim answers (1xx) without end kept the only thread busy, so that other requests got no answer within 10 s.

Change: all answers together hold at most 12 MiB beyond 64 KiB each; a head may follow at most 16 interim answers and 128 KiB; a link takes messages of at most 16 MiB, and a response of the store 16 MiB.

--- a/crates/hawthornstand/src/backends/http_client.rs
+++ b/crates/hawthornstand/src/backends/http_client.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// Largest accepted response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Errors of a request.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
 
+use crate::gateway::answer_memory::AnswerMemory;
 use crate::gateway::call::{Answer, Call, CallOutcome, OutboundRequest};
 use crate::gateway::connection_queue;
 use crate::gateway::crash_tracker::CrashTracker;
@@ -55,6 +56,7 @@
 /// State that all requests of the gateway share.
 #[derive(Clone)]
 pub struct GatewayContext {
+    pub answer_memory: Arc<AnswerMemory>,
     pub crash_tracker: Arc<CrashTracker>,
     pub protocol: Arc<dyn HttpProtocol>,
     pub telemetry: Arc<Telemetry>,
@@ -158,7 +160,7 @@
         let idempotent = self.request.idempotency == Idempotency::Idempotent;
         match outcome {
             CallOutcome::Answered(answer) => match answer.head.kind {
-                AnswerKind::Succeeded => return Ok(Some(answer)),
+                AnswerKind::Succeeded => return Ok(Some(*answer)),
                 AnswerKind::Refused => {
                     self.log("refused by a backend server", server);
                     self.record_error(AttemptsError::Refused);
@@ -170,9 +172,9 @@
                     self.record_error(AttemptsError::Refused);
                 }
                 AnswerKind::Failed if idempotent => {
-                    self.record_error(AttemptsError::Failed(Box::new(answer)))
+                    self.record_error(AttemptsError::Failed(answer))
                 }
-                AnswerKind::Failed => return Err(AttemptsError::Failed(Box::new(answer))),
+                AnswerKind::Failed => return Err(AttemptsError::Failed(answer)),
             },
             CallOutcome::NotSent(error) => {
                 self.sent_attempts -= 1;
@@ -240,6 +242,7 @@
             request,
             self.time_budget.clone(),
             Arc::clone(&self.context.protocol),
+            Arc::clone(&self.context.answer_memory),
         )
     }
 
--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri, Version};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::gateway::answer_memory::{AnswerMemory, AnswerPermit, MAX_COUNTED_BYTES};
 use crate::gateway::attempt_outcomes::AttemptOutcomes;
 use crate::gateway::model::Idempotency;
 use crate::gateway::pool::{ConnectError, Connection, Reservation};
@@ -18,8 +20,6 @@
 use crate::gateway::server::Server;
 use crate::gateway::time_budget::TimeBudget;
 
-/// Largest accepted answer of a backend server, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Time for which the slower of two attempts may go on, so that its connection can be reused: the usual length of a
 /// pause of a backend server.
 const ABANDONED_CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -39,6 +39,7 @@
 #[derive(Debug)]
 pub struct Answer {
     pub body: Bytes,
+    pub body_memory: AnswerPermit,
     pub head: AnswerHead,
     pub headers: HeaderMap,
     pub status: StatusCode,
@@ -47,7 +48,7 @@
 /// How a call ended.
 #[derive(Debug)]
 pub enum CallOutcome {
-    Answered(Answer),
+    Answered(Box<Answer>),
     /// The request was sent and no valid answer came; it may have run.
     Broken(&'static str),
     /// No byte of the request was sent.
@@ -78,13 +79,16 @@
         request: Arc<OutboundRequest>,
         time_budget: TimeBudget,
         protocol: Arc<dyn HttpProtocol>,
+        answer_memory: Arc<AnswerMemory>,
     ) -> Self {
         let (sender, outcome) = oneshot::channel();
         let task = tokio::spawn({
             let server = Arc::clone(&server);
             let running = server.begin_call();
             async move {
-                let result = run(&server, reservation, &request, &time_budget, &*protocol).await;
+                let permit = AnswerPermit::new(answer_memory);
+                let result =
+                    run(&server, reservation, &request, &time_budget, &*protocol, permit).await;
                 drop(running);
                 // The receiver is dropped when another attempt answered first.
                 let _ = sender.send(result);
@@ -111,6 +115,7 @@
     request: &OutboundRequest,
     time_budget: &TimeBudget,
     protocol: &dyn HttpProtocol,
+    body_memory: AnswerPermit,
 ) -> CallOutcome {
     let mut connection = match reservation {
         Reservation::Idle(connection) => connection,
@@ -123,7 +128,8 @@
         return CallOutcome::NotSent(ConnectError::Failed);
     }
     let started = Instant::now();
-    let outcome = exchange(&mut connection, server, request, time_budget, protocol).await;
+    let outcome =
+        exchange(&mut connection, server, request, time_budget, protocol, body_memory).await;
     let now = Instant::now();
     let (answer, reusable) = match outcome {
         Ok(exchanged) => exchanged,
@@ -152,7 +158,7 @@
     if reusable {
         return_to_pool(server, connection, &answer).await;
     }
-    CallOutcome::Answered(answer)
+    CallOutcome::Answered(Box::new(answer))
 }
 
 /// Why an exchange on a connection gave no answer.
@@ -168,6 +174,7 @@
     request: &OutboundRequest,
     time_budget: &TimeBudget,
     protocol: &dyn HttpProtocol,
+    mut body_memory: AnswerPermit,
 ) -> Result<(Answer, bool), ExchangeError> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
@@ -178,6 +185,7 @@
         time_budget.left(),
         &server.published.id,
     );
+    connection.head_allowance.begin_head(&mut outgoing);
     let response = connection.sender.try_send_request(outgoing).await.map_err(|error| {
         // hyper returns the request with the error if no byte of it was written.
         match error.message() {
@@ -185,23 +193,44 @@
             None => ExchangeError::Broken("the connection broke off"),
         }
     })?;
+    connection.head_allowance.end_head();
     let (parts, body) = response.into_parts();
     let head = protocol.read_answer_head(parts.status, &parts.headers);
     if !head.request_id.is_empty() && head.request_id != request.request_id {
         return Err(ExchangeError::Broken("the answer belongs to another request"));
     }
     server.mark_responsive(Instant::now());
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|_| ExchangeError::Broken("the answer broke off"))?
-        .to_bytes();
+    let body = read_body(body, &mut body_memory).await?;
     if head.kind == AnswerKind::Succeeded && head.request_id.is_empty() {
         return Err(ExchangeError::Broken("the answer does not name its request"));
     }
     let reusable = parts.version == Version::HTTP_11
         && !parts.headers.get(CONNECTION).is_some_and(asks_to_close);
-    Ok((Answer { body, head, headers: parts.headers, status: parts.status }, reusable))
+    let answer = Answer { body, body_memory, head, headers: parts.headers, status: parts.status };
+    Ok((answer, reusable))
+}
+
+/// Reads the whole body of an answer.
+async fn read_body(body: Incoming, memory: &mut AnswerPermit) -> Result<Bytes, ExchangeError> {
+    let mut body = Limited::new(body, MAX_COUNTED_BYTES);
+    let mut read = BytesMut::new();
+    let mut first = Bytes::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ExchangeError::Broken("the answer broke off"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !memory.grow(data.len()) {
+            return Err(ExchangeError::Broken("answers hold too much memory"));
+        }
+        if first.is_empty() && read.is_empty() {
+            first = data;
+            continue;
+        }
+        if read.is_empty() {
+            read.extend_from_slice(&std::mem::take(&mut first));
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(if read.is_empty() { first } else { read.freeze() })
 }
 
 /// Returns a connection to its pool once it is ready for another request.
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -61,6 +61,7 @@
         Arc::new(PublishedState::new(&settings, Arc::clone(&store), Arc::clone(&telemetry)));
     let crash_tracker = Arc::new(CrashTracker::default());
     let context = GatewayContext {
+        answer_memory: Arc::default(),
         crash_tracker: Arc::clone(&crash_tracker),
         protocol,
         telemetry: Arc::clone(&telemetry),
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`server_selection`] and sends the request to them with [`call`]. In a large fleet, [`relays`] hand searches to the
 //! VMs that hold connections to the shards.
 
+pub mod answer_memory;
 pub mod attempt_outcomes;
 pub mod attempts;
 pub mod call;
@@ -13,6 +14,7 @@
 pub mod daemon;
 pub mod directory;
 pub mod forward;
+pub mod head_limit;
 pub mod items;
 pub mod latency_estimate;
 pub mod listing;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -27,6 +27,8 @@
 /// Size of each of the two buffers of a link, in bytes: most messages are pings, larger ones pass in parts. The
 /// library's default of 128 KiB cost 60 MB on a VM that many others link to, in a fleet of 300 VMs.
 const BUFFER_BYTES: usize = 4 * 1024;
+/// Largest accepted message: several times the published state of the largest fleet.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Number of links that each VM opens.
 const LINKS_PER_VM: usize = 3;
 /// Time limit for opening or accepting a link.
@@ -162,7 +164,11 @@
 
 /// Returns the WebSocket configuration of links.
 fn socket_config() -> WebSocketConfig {
-    WebSocketConfig::default().read_buffer_size(BUFFER_BYTES).write_buffer_size(BUFFER_BYTES)
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
 }
 
 /// Exchanges messages on a link until it closes; returns the reason.
--- a/crates/hawthornstand/src/gateway/scatter.rs
+++ b/crates/hawthornstand/src/gateway/scatter.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::error::{ErrorKind, Failure};
+use crate::gateway::answer_memory::AnswerPermit;
 use crate::gateway::attempts::{self, AttemptsError, GatewayContext};
 use crate::gateway::call::{Answer, OutboundRequest};
 use crate::gateway::directory::Service;
@@ -33,6 +34,8 @@
     /// Time after the request's arrival at which enough shards had answered.
     enough_after: Option<Duration>,
     bodies: Vec<Bytes>,
+    /// Memory of the bodies.
+    memory: Vec<AnswerPermit>,
     /// Shards that can no longer answer.
     failed: usize,
     signatures: Vec<Bytes>,
@@ -73,6 +76,7 @@
         enough_after: None,
         bodies: Vec::with_capacity(shards.len()),
         failed: 0,
+        memory: Vec::with_capacity(shards.len()),
         signatures: Vec::with_capacity(shards.len()),
     };
     loop {
@@ -112,6 +116,7 @@
             Ok(answer) if !answer.head.signature.is_empty() => {
                 self.answered.push(index);
                 self.bodies.push(answer.body);
+                self.memory.push(answer.body_memory);
                 self.signatures.push(answer.head.signature);
             }
             Ok(_) | Err(_) => self.failed += 1,
