Relays: refuse for a moment only, clamp times, and check crashed servers again

A relay that has not heard of new shards refuses for 0.2 s, not for 1 to 8 s: at a repartition every VM would search for itself. Times of a message that no instant can hold are clamped; they ended the task of the search. A crash check that met this VM's own limit on connections counted the server as alive; it is repeated.

--- a/crates/hawthornstand/src/gateway/attempt_outcomes.rs
+++ b/crates/hawthornstand/src/gateway/attempt_outcomes.rs
@@ -3,6 +3,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -14,6 +15,10 @@
 use crate::ids::{Fingerprint, id_text};
 use crate::locks::lock;
 
+/// Number of checks whether a backend server accepts connections, and the time between them: a check needs one of this
+/// VM's connections.
+const MAX_CRASH_CHECKS: u32 = 10;
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Value of [`AttemptOutcomes::maybe_run`] after which no attempt may be sent.
 const SEALED: u32 = u32::MAX;
 
@@ -93,15 +98,30 @@
 async fn crashed_processes(broken: &[Arc<Server>]) -> Vec<ProcessHash> {
     let mut processes = Vec::new();
     for server in broken {
-        match server.connect().await {
-            Ok(connection) => server.pool.release(connection, None),
-            Err(ConnectError::Closed | ConnectError::LimitReached) => {}
-            Err(ConnectError::Failed) => processes.push(process_hash(&server.published)),
+        if has_crashed(server).await {
+            processes.push(process_hash(&server.published));
         }
     }
     processes
 }
 
+/// Returns whether a backend server accepts no connection.
+async fn has_crashed(server: &Server) -> bool {
+    for _ in 0..MAX_CRASH_CHECKS {
+        match server.connect().await {
+            Ok(connection) => {
+                server.pool.release(connection, None);
+                return false;
+            }
+            Err(ConnectError::Closed) => return false,
+            Err(ConnectError::Failed) => return true,
+            // A probe or another request holds the connections of this VM.
+            Err(ConnectError::LimitReached) => tokio::time::sleep(CRASH_CHECK_INTERVAL).await,
+        }
+    }
+    false
+}
+
 /// Returns the hash of a process of a backend server, the same on every VM.
 fn process_hash(published: &PublishedServer) -> ProcessHash {
     xxhash_rust::xxh3::xxh3_64_with_seed(published.id.as_bytes(), published.process_start_unix_ms)
--- a/crates/hawthornstand/src/gateway/relays/host.rs
+++ b/crates/hawthornstand/src/gateway/relays/host.rs
@@ -33,6 +33,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval of the pings that show that this VM runs while the other one waits for an answer.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time that a search of another VM may take; instants further away cannot be represented everywhere.
+const MAX_TIME_LIMIT: Duration = Duration::from_secs(3600);
 /// Finished searches buffered for a link that sends slowly.
 const ANSWER_BUFFER: usize = 64;
 
@@ -237,8 +239,9 @@
     clock: Arc<dyn Clock>,
     context: &GatewayContext,
 ) -> Result<MergedAnswer, Failure> {
-    let spent = Duration::from_millis(search.time_spent_ms);
-    let time_limit = spent + Duration::from_millis(search.time_left_ms);
+    let spent = Duration::from_millis(search.time_spent_ms).min(MAX_TIME_LIMIT);
+    let left = Duration::from_millis(search.time_left_ms).min(MAX_TIME_LIMIT);
+    let time_limit = spent + left;
     let time_budget = TimeBudget::resume(clock, spent, time_limit);
     let shard_set = ShardSet {
         services: search.shards.clone(),
@@ -251,7 +254,7 @@
         path_prefix: String::new(),
         idempotency: Idempotency::Idempotent,
         time_limit,
-        target_latency: Duration::from_millis(search.target_latency_ms),
+        target_latency: Duration::from_millis(search.target_latency_ms).min(MAX_TIME_LIMIT),
         max_attempts: search.max_attempts,
         priority: search.priority,
         target: Target::Shards(shard_set.clone()),
--- a/crates/hawthornstand/src/gateway/relays/links.rs
+++ b/crates/hawthornstand/src/gateway/relays/links.rs
@@ -56,6 +56,8 @@
 /// Time for which a relay that did not accept a search is not used, before it doubles.
 const MIN_AVOID_TIME: Duration = Duration::from_secs(1);
 const MAX_AVOID_TIME: Duration = Duration::from_secs(8);
+/// Time for which a relay that refused a search is not used.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 /// Messages buffered for a link that sends slowly; a search that does not fit is run by this VM.
 const SEND_BUFFER: usize = 64;
 
@@ -107,6 +109,11 @@
         avoidance.until = now + time.min(MAX_AVOID_TIME);
     }
 
+    /// Stops using a relay that refused a search for a moment: it is stopping, or is about to learn of new shards.
+    fn pause_after_refusal(&self, now: Instant) {
+        lock(&self.avoidance).until = now + REFUSAL_PAUSE;
+    }
+
     /// Passes a message of the relay to the search that it is about.
     fn receive(&self, message: RelayMessage) {
         let (id, event) = match message {
@@ -375,6 +382,8 @@
                     pending.has_ended = true;
                     offer.request.attempt_outcomes.record_not_run();
                     offer.log("refused by a relay", link.address);
+                    link.pause_after_refusal(Instant::now());
+                    continue;
                 }
                 Some(SearchEvent::Answered(_) | SearchEvent::Failed(_)) | None => {
                     attempts += ATTEMPTS_UNACCEPTED;
