--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -63,7 +63,11 @@
     // The last list may be stale, and no watch has returned what it lacks.
     let mut is_unconfirmed = false;
     loop {
-        if last_revision.is_some() && !is_unconfirmed && !policy.should_read() {
+        // Other VMs may have brought and confirmed the state while the store refused this one.
+        let has_confirmed_state =
+            (last_revision.is_some() && !is_unconfirmed) || state.is_initialized();
+        if has_confirmed_state && !policy.should_read() {
+            is_unconfirmed = false;
             tokio::time::sleep(POLICY_CHECK_INTERVAL.mul_f64(rand::random_range(0.5..1.5))).await;
             // Changes received over links need not be read again.
             last_revision = last_revision.max(Some(state.as_of()));
--- /dev/null
+++ b/crates/hawthornstand/tests/gateway_store_watch.rs
@@ -0,0 +1,140 @@
+//! How often a VM reads the store, with paused time.
+
+#[path = "support/gateway.rs"]
+mod gateway_support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use gateway_support::settings;
+use hawthornstand::gateway::items::{Change, Update};
+use hawthornstand::gateway::model::{CallerLimits, Routing};
+use hawthornstand::gateway::protocol::{
+    ListConsistency, PublishedKey, PublishedStore, PublishedValue, StoreError, StoreList,
+};
+use hawthornstand::gateway::state::PublishedState;
+use hawthornstand::gateway::store_watch::{self, ReadPolicy};
+use hawthornstand::gateway::telemetry::Telemetry;
+use hawthornstand::ids::Revision;
+use hawthornstand::process::log_limit::LogLosses;
+
+/// A store that refuses every read of this VM, or serves a stale list and then nothing new.
+#[derive(Default)]
+struct CountingStore {
+    latest_lists: AtomicUsize,
+    refuses: bool,
+    stale_lists: AtomicUsize,
+    watches: AtomicUsize,
+}
+
+fn list(as_of: Revision, changes: Vec<Change>) -> StoreList {
+    StoreList { as_of, changes }
+}
+
+fn routes() -> Change {
+    let value = Some(Bytes::from_static(b"routes"));
+    Change { after_outage: false, key: "routes".to_string(), revision: 3, value }
+}
+
+impl PublishedStore for CountingStore {
+    fn list(&self, consistency: ListConsistency) -> BoxFuture<'_, Result<StoreList, StoreError>> {
+        let counter = match consistency {
+            ListConsistency::Latest => &self.latest_lists,
+            ListConsistency::MayBeStale => &self.stale_lists,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let read =
+            if self.refuses { Err(StoreError::Refused(503)) } else { Ok(list(3, vec![routes()])) };
+        Box::pin(async move { read })
+    }
+
+    fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<StoreList, StoreError>> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            tokio::time::sleep(wait).await;
+            Ok(list(after, Vec::new()))
+        })
+    }
+
+    fn read_key(&self, _key: &str) -> PublishedKey {
+        PublishedKey::Routing
+    }
+
+    fn read_value(&self, _key: &str, _value: &[u8]) -> Result<PublishedValue, String> {
+        let limits = CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 262_144,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        };
+        Ok(PublishedValue::Routing(Routing {
+            version: 1,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits,
+        }))
+    }
+}
+
+/// Other VMs read the store for this one.
+struct OthersRead;
+
+impl ReadPolicy for OthersRead {
+    fn should_read(&self) -> bool {
+        false
+    }
+
+    fn watch_timeout(&self) -> Duration {
+        Duration::from_secs(2)
+    }
+}
+
+/// Starts a VM; returns its state.
+fn start(store: &Arc<CountingStore>) -> Arc<PublishedState> {
+    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
+    let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
+    let state =
+        Arc::new(PublishedState::new(&settings(), Arc::clone(&published), Arc::clone(&telemetry)));
+    tokio::spawn(store_watch::run(Arc::clone(&state), published, Arc::new(OthersRead), telemetry));
+    state
+}
+
+#[tokio::test(start_paused = true)]
+async fn started_vm_is_initialized_only_once_a_watch_has_confirmed_its_list() {
+    let store = Arc::new(CountingStore::default());
+    let state = start(&store);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    assert!(state.active_config().is_some());
+    assert!(!state.is_initialized(), "the list may be stale");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(state.is_initialized());
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let reads = [&store.stale_lists, &store.latest_lists, &store.watches]
+        .map(|counter| counter.load(Ordering::Relaxed));
+    assert_eq!(reads, [1, 0, 1], "others read the store");
+}
+
+/// Pattern: a large fleet starts while the store turns a third of its VMs away.
+#[tokio::test(start_paused = true)]
+async fn vm_that_the_store_refuses_stops_reading_once_others_have_confirmed_its_state() {
+    let store = Arc::new(CountingStore { refuses: true, ..CountingStore::default() });
+    let state = start(&store);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let update = Update { after: 0, after_outage: false, as_of: 3, changes: vec![routes()] };
+    state.apply_update(&update, "peer");
+    state.record_confirmation(Duration::ZERO);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let lists =
+        || store.stale_lists.load(Ordering::Relaxed) + store.latest_lists.load(Ordering::Relaxed);
+    let reads = lists();
+    assert!(reads > 1, "it tries until it knows the state");
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(lists(), reads);
+}
