--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -44,9 +44,9 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Time after which a search whose relays were lost may be sent again: others are used at once.
 const RELAY_LOST_RETRY_AFTER: Duration = Duration::from_millis(10);
-/// Time after which a caller may come back to a fleet whose VMs have just started: one that reaches the store is ready
-/// within about this time.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back to a VM that has just started and has not failed to reach the store: it is
+/// ready within about this time. Without the store, the longer time in the table of errors applies.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Path of the status on the listener for metrics.
 const STATUS_PATH: &str = "/status";
 /// Limits that apply until a configuration is active.
@@ -115,8 +115,10 @@
         };
         let active_config = self.state.active_config().filter(|_| self.state.is_initialized());
         let Some(active_config) = active_config else {
-            let failure = Failure::new(ErrorKind::NotReady, "no configuration is known yet")
-                .with_retry_after_ms(NOT_READY_RETRY_AFTER.as_millis() as u64);
+            let mut failure = Failure::new(ErrorKind::NotReady, "no configuration is known yet");
+            if self.state.store_reachable_since().is_some() {
+                failure = failure.with_retry_after_ms(STARTING_RETRY_AFTER.as_millis() as u64);
+            }
             return Err(FailedRequest::new(&caller.request_id, failure));
         };
         let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
