--- a/crates/hawthornstand/src/gateway/relays/mod.rs
+++ b/crates/hawthornstand/src/gateway/relays/mod.rs
@@ -6,5 +6,7 @@
 
 pub mod choice;
 pub mod host;
+pub mod link;
 pub mod links;
 pub mod messages;
+pub mod offer;
