--- a/crates/hawthornstand/src/bin/hawthornstand.rs
+++ b/crates/hawthornstand/src/bin/hawthornstand.rs
@@ -1,5 +1,6 @@
 //! The operators' command-line tool.
 
+use std::io::{ErrorKind, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -123,10 +124,15 @@
         return ExitCode::from(cli::EXIT_USAGE);
     };
     match run(command).await {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
+        Ok(text) => match writeln!(std::io::stdout(), "{text}") {
+            Ok(()) => ExitCode::SUCCESS,
+            // The reader, such as `head`, has what it wants.
+            Err(error) if error.kind() == ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("cannot write the output: {error}");
+                ExitCode::FAILURE
+            }
+        },
         Err(error) => {
             eprintln!("{error}");
             ExitCode::from(error.exit_code())
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -77,3 +77,21 @@
         cli::explain(&address, "shard-z", OutputFormat::Text).await.expect_err("no service");
     assert_eq!(unknown.to_string(), "no service is named shard-z");
 }
+
+/// An operator pipes the output into a command that reads only its beginning, as `head` does.
+#[test]
+fn output_that_nobody_reads_any_more_is_no_failure() {
+    use std::process::{Command, Stdio};
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hawthornstand"));
+    command.args(["explain-request", "r1", "/dev/null"]);
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let output = command
+        .stdout(Stdio::from(writer))
+        .stderr(Stdio::piped())
+        .spawn()
+        .and_then(|child| child.wait_with_output())
+        .expect("the tool runs");
+    assert!(output.stderr.is_empty(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(output.status.success(), "{}", output.status);
+}
