Log and show which services a VM reaches

The logs could not tell a VM that is cut off from all backend servers from one whose servers are down one by one: both left a line a server.

reach/contact.rs holds what all attempts together show: four servers in a row that do not respond to what was sent after the last response of any. A response of any server ends it. reach/verdict.rs tells the reach of a service. Lines when either changes, the reach in the status. Nothing acts on it yet.

--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -11,6 +11,8 @@
 use crate::gateway::listing::{self, Listing};
 use crate::gateway::model::{PublishedServer, PublishedService};
 use crate::gateway::pool::Pool;
+use crate::gateway::reach::contact::Contact;
+use crate::gateway::reach::verdict::{self, Reach, ReachChange};
 use crate::gateway::server::{Proximity, Server};
 use crate::gateway::service_time::ServiceTime;
 use crate::gateway::settings::{GatewaySettings, Location};
@@ -58,13 +60,21 @@
     pub service_time: Arc<ServiceTime>,
     /// Whether a route searches it as a shard.
     is_shard: AtomicBool,
+    contact: Arc<Contact>,
+    /// Reach that was last logged, and since when.
+    logged_reach: Mutex<(Reach, Instant)>,
     published: Mutex<PublishedService>,
     servers: Mutex<Arc<Vec<Arc<Server>>>>,
 }
 
 impl Service {
     /// Creates a service without backend servers.
-    fn new(name: &str, settings: &GatewaySettings, fleet_size: usize) -> Self {
+    fn new(
+        name: &str,
+        settings: &GatewaySettings,
+        fleet_size: usize,
+        contact: Arc<Contact>,
+    ) -> Self {
         let published = PublishedService {
             name: name.to_string(),
             health_path: DEFAULT_HEALTH_PATH.to_string(),
@@ -73,7 +83,9 @@
         Self {
             budget: settings.budget(fleet_size, rand::random(), Instant::now()),
             connection_queue: Arc::default(),
+            contact,
             is_shard: AtomicBool::new(false),
+            logged_reach: Mutex::new((Reach::default(), Instant::now())),
             name: name.to_string(),
             published: Mutex::new(published),
             servers: Mutex::default(),
@@ -86,6 +98,26 @@
         Arc::clone(&lock(&self.servers))
     }
 
+    /// Returns which of the backend servers this VM reaches.
+    pub fn reach(&self, now: Instant) -> Reach {
+        let servers = self.servers();
+        let evidence = servers.iter().map(|server| server.evidence(now));
+        verdict::of_service(evidence, self.contact.lost_for(now).is_none())
+    }
+
+    /// Returns the change of the reach since the last call.
+    pub fn take_reach_change(&self, now: Instant) -> Option<ReachChange> {
+        let to = self.reach(now);
+        let mut logged = lock(&self.logged_reach);
+        let (from, since) = *logged;
+        if from == to {
+            return None;
+        }
+        *logged = (to, now);
+        let lost_for = (from == Reach::Lost).then(|| now.saturating_duration_since(since));
+        Some(ReachChange { from, to, lost_for })
+    }
+
     /// Returns the path that health probes request.
     pub fn health_path(&self) -> String {
         lock(&self.published).health_path.clone()
@@ -125,6 +157,7 @@
 
 /// All services, including those without a route, and their backend servers.
 pub struct Directory {
+    pub contact: Arc<Contact>,
     fleet_size: Mutex<usize>,
     relay_role: Mutex<RelayRole>,
     /// The service of each backend server, sorted by id of the backend server.
@@ -138,6 +171,7 @@
     /// Creates an empty directory.
     pub fn new(settings: GatewaySettings) -> Self {
         Self {
+            contact: Arc::default(),
             fleet_size: Mutex::new(settings.assumed_fleet_size),
             relay_role: Mutex::default(),
             service_by_server: Mutex::default(),
@@ -152,7 +186,12 @@
         match services.binary_search_by(|service| service.name.as_str().cmp(name)) {
             Ok(index) => Arc::clone(&services[index]),
             Err(index) => {
-                let service = Arc::new(Service::new(name, &self.settings, self.fleet_size()));
+                let service = Arc::new(Service::new(
+                    name,
+                    &self.settings,
+                    self.fleet_size(),
+                    Arc::clone(&self.contact),
+                ));
                 services.insert(index, Arc::clone(&service));
                 service
             }
@@ -256,7 +295,9 @@
         let connection_queue = Arc::clone(&service.connection_queue);
         let pool = Pool::new(published.address, INITIAL_CONNECTIONS, connection_queue);
         let service_time = Arc::clone(&service.service_time);
-        self.insert(&service, Arc::new(Server::new(published, proximity, pool, service_time)));
+        let contact = Arc::clone(&self.contact);
+        let server = Server::new(published, proximity, pool, service_time, contact);
+        self.insert(&service, Arc::new(server));
         self.share_connections(&service);
         true
     }
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -12,6 +12,8 @@
 use crate::gateway::attempts::GatewayContext;
 use crate::gateway::directory::{KeptConnections, Service};
 use crate::gateway::listing::Listing;
+use crate::gateway::reach::contact::ContactChange;
+use crate::gateway::reach::verdict::Reach;
 use crate::gateway::routes::Destination;
 use crate::gateway::server::{Proximity, Server};
 use crate::gateway::server_statements::AnswerStatements;
@@ -45,6 +47,7 @@
         let drain = settings.borrow().drain;
         state.expire_entries(drain);
         state.activate_held_config();
+        log_reach(&state);
         probe_unresponsive(&state, &context);
         if Instant::now() >= open_from {
             open_in_advance(&state);
@@ -52,6 +55,31 @@
     }
 }
 
+/// Logs which services this VM no longer reaches, or reaches again.
+fn log_reach(state: &PublishedState) {
+    let now = Instant::now();
+    match state.directory.contact.take_change(now) {
+        Some(ContactChange::Lost { silent_for, silent_servers }) => {
+            log::warn!(silent_ms = silent_for.as_millis() as u64, silent_servers = silent_servers;
+                "no backend server of any service responds to this VM; is it cut off?");
+        }
+        Some(ContactChange::Regained) => log::info!("backend servers respond to this VM again"),
+        None => {}
+    }
+    for service in state.directory.services() {
+        let Some(change) = service.take_reach_change(now) else { continue };
+        if change.to == Reach::Lost {
+            log::info!(service = service.name.as_str(), servers = service.servers().len();
+                "no backend server of the service responds to this VM");
+        }
+        if let Some(lost_for) = change.lost_for {
+            log::info!(service = service.name.as_str(), reach = format!("{:?}", change.to),
+                lost_ms = lost_for.as_millis() as u64;
+                "the service is no longer out of reach");
+        }
+    }
+}
+
 /// Probes the unresponsive backend servers whose probe is due.
 fn probe_unresponsive(state: &PublishedState, context: &GatewayContext) {
     for service in state.directory.services() {
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod protocol;
 pub mod pulls;
+pub mod reach;
 pub mod readers;
 pub mod relays;
 pub mod reload;
--- /dev/null
+++ b/crates/hawthornstand/src/gateway/reach/contact.rs
@@ -0,0 +1,90 @@
+//! Whether this VM reaches any backend server: a VM that is cut off sees all of them fall silent at the same time.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::derives::value_types;
+use crate::locks::lock;
+
+/// Number of backend servers that have to be silent, in a row and without a response of any other.
+const MIN_SILENT_SERVERS: usize = 4;
+/// Time for which they have to stay silent. After a pause of this VM, timers fire before the responses that arrived
+/// meanwhile are read.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(40);
+
+/// What the attempts on all backend servers together show.
+#[derive(Debug, Default)]
+pub struct Contact(Mutex<ContactState>);
+
+value_types! {
+    #[derive(Default)]
+    struct ContactState {
+        last_response: Option<Instant>,
+        /// When the first of the silent backend servers was found silent.
+        silent_since: Option<Instant>,
+        /// Backend servers that did not respond to what was sent after the last response of any; sorted.
+        silent_servers: Vec<SocketAddr>,
+        was_lost: bool,
+    }
+
+    /// A change of the contact to backend servers.
+    #[derive(Copy, Eq)]
+    pub enum ContactChange {
+        Lost { silent_for: Duration, silent_servers: usize },
+        Regained,
+    }
+}
+
+impl Contact {
+    /// Records a response of any backend server, also an accepted connection.
+    pub fn record_response(&self, now: Instant) {
+        let mut state = lock(&self.0);
+        state.last_response = Some(now);
+        state.silent_since = None;
+        state.silent_servers.clear();
+    }
+
+    /// Records that a backend server has not responded to a request or a connection attempt that began at `sent_at`.
+    pub fn record_silence(&self, server: SocketAddr, sent_at: Instant, now: Instant) {
+        let mut state = lock(&self.0);
+        if state.last_response.is_some_and(|at| at >= sent_at) {
+            return;
+        }
+        state.silent_since.get_or_insert(now);
+        if let Err(index) = state.silent_servers.binary_search(&server) {
+            state.silent_servers.insert(index, server);
+        }
+    }
+
+    /// Returns the time since this VM lost contact to all backend servers; none if it has contact.
+    pub fn lost_for(&self, now: Instant) -> Option<Duration> {
+        lock(&self.0).lost_for(now)
+    }
+
+    /// Returns a change since the last call.
+    pub fn take_change(&self, now: Instant) -> Option<ContactChange> {
+        let mut state = lock(&self.0);
+        let lost_for = state.lost_for(now);
+        if std::mem::replace(&mut state.was_lost, lost_for.is_some()) == lost_for.is_some() {
+            return None;
+        }
+        let silent_servers = state.silent_servers.len();
+        Some(match lost_for {
+            Some(silent_for) => ContactChange::Lost { silent_for, silent_servers },
+            None => ContactChange::Regained,
+        })
+    }
+}
+
+impl ContactState {
+    fn lost_for(&self, now: Instant) -> Option<Duration> {
+        if self.silent_servers.len() < MIN_SILENT_SERVERS {
+            return None;
+        }
+        let silent_for = now.saturating_duration_since(self.silent_since?);
+        (silent_for >= CONFIRMATION_TIME).then_some(silent_for)
+    }
+}
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -10,6 +10,8 @@
 use crate::gateway::listing::Listing;
 use crate::gateway::model::PublishedServer;
 use crate::gateway::pool::{ConnectError, Connection, ConnectionPermit, Pool};
+use crate::gateway::reach::contact::Contact;
+use crate::gateway::reach::verdict::ServerEvidence;
 use crate::gateway::request_allowance::RequestAllowance;
 use crate::gateway::server_selection::{Availability, Candidate};
 use crate::gateway::server_statements::{AnswerStatements, ServerStatements, StatementChange};
@@ -72,6 +74,7 @@
     pub pool: Pool,
     pub proximity: Proximity,
     pub published: PublishedServer,
+    contact: Arc<Contact>,
     service_time: Arc<ServiceTime>,
     state: Mutex<ServerState>,
 }
@@ -89,12 +92,13 @@
 impl Server {
     /// Creates a backend server without measurements.
     ///
-    /// `service_time` is shared by the backend servers of its service.
+    /// `contact` is shared by all backend servers, and `service_time` by those of its service.
     pub fn new(
         published: PublishedServer,
         proximity: Proximity,
         pool: Pool,
         service_time: Arc<ServiceTime>,
+        contact: Arc<Contact>,
     ) -> Self {
         let listing = if published.leaving { Listing::Leaving } else { Listing::Listed };
         let state = ServerState {
@@ -110,7 +114,7 @@
             statements: ServerStatements::default(),
             unresponsive_since: None,
         };
-        Self { pool, proximity, published, service_time, state: Mutex::new(state) }
+        Self { pool, proximity, published, contact, service_time, state: Mutex::new(state) }
     }
 
     /// Counts a call as in flight until the returned value is dropped.
@@ -136,10 +140,18 @@
     /// Returns an error if the backend server does not accept the connection; it is then unusable until it answers a
     /// probe.
     pub async fn connect_with(&self, permit: ConnectionPermit) -> Result<Connection, ConnectError> {
+        let started = Instant::now();
         let opened = self.pool.open_with(permit).await;
-        let failed = matches!(opened, Err(ConnectError::Failed));
-        if failed && self.record_unreachable(Instant::now()) {
-            log::info!(server = self.published.id.as_str(); "backend server unreachable");
+        let now = Instant::now();
+        match opened {
+            Ok(_) => self.contact.record_response(now),
+            Err(ConnectError::Failed) => {
+                self.contact.record_silence(self.published.address, started, now);
+                if self.record_unreachable(now) {
+                    log::info!(server = self.published.id.as_str(); "backend server unreachable");
+                }
+            }
+            Err(_) => {}
         }
         opened
     }
@@ -171,6 +183,7 @@
 
     /// Records any response of the backend server; returns how long it was unresponsive before, if it was.
     pub fn record_response(&self, now: Instant) -> Option<Duration> {
+        self.contact.record_response(now);
         let mut state = lock(&self.state);
         state.last_response = Some(now);
         state.next_probe = None;
@@ -281,6 +294,7 @@
     ///
     /// It is not marked if it has responded to anything since the call was sent.
     pub fn record_overdue(&self, sent_at: Instant, now: Instant) -> bool {
+        self.contact.record_silence(self.published.address, sent_at, now);
         let mut state = lock(&self.state);
         if state.last_response.is_some_and(|at| at > sent_at) || state.unresponsive_since.is_some()
         {
@@ -333,6 +347,15 @@
         self.service_time.get() + self.proximity.assumed_round_trip()
     }
 
+    /// Returns what this VM has seen of the backend server.
+    pub fn evidence(&self, now: Instant) -> ServerEvidence {
+        let state = lock(&self.state);
+        ServerEvidence {
+            allows_requests: state.allows_requests(),
+            is_unresponsive: state.is_unresponsive(now),
+        }
+    }
+
     /// Returns the backend server as a candidate for selection.
     ///
     /// One in another region is selected only if it is better by more than the deviation of its latency, so that random
@@ -377,6 +400,12 @@
         self.listing.allows_requests() && self.statements.leaving_since().is_none()
     }
 
+    /// Returns whether the backend server does not respond, for longer than a pause takes.
+    fn is_unresponsive(&self, now: Instant) -> bool {
+        self.unresponsive_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= MAX_PAUSE)
+    }
+
     /// Schedules the next probe with exponential backoff.
     fn schedule_probe(&mut self, now: Instant) {
         let delay = FIRST_PROBE_DELAY * 2_u32.pow(self.probes.min(4));
@@ -394,9 +423,7 @@
             _ => Availability::Usable,
         };
         let responsive = match self.unresponsive_since {
-            Some(since) if now.saturating_duration_since(since) >= MAX_PAUSE => {
-                return Availability::Unusable;
-            }
+            Some(_) if self.is_unresponsive(now) => return Availability::Unusable,
             Some(_) => Availability::Pausing,
             None => Availability::Usable,
         };
--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -41,6 +41,9 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ServiceStatus {
     pub name: ServiceName,
+    /// Which of its backend servers this VM reaches.
+    #[serde(default)]
+    pub reach: String,
     /// Requests in the window of the budget.
     pub requests_in_window: u64,
     /// Retries and hedges in the window of the budget.
@@ -105,7 +108,8 @@
         }
         let (requests_in_window, extra_in_window) = service.budget.usage(now);
         let name = service.name.clone();
-        services.push(ServiceStatus { name, requests_in_window, extra_in_window, servers });
+        let reach = format!("{:?}", service.reach(now));
+        services.push(ServiceStatus { name, reach, requests_in_window, extra_in_window, servers });
     }
     let (role, as_of) = (state.directory.relay_role(), state.as_of());
     GatewayStatus {
--- a/crates/hawthornstand/src/process/gateway_text.rs
+++ b/crates/hawthornstand/src/process/gateway_text.rs
@@ -6,6 +6,8 @@
 
 /// Availability of a backend server that the overview leaves out.
 const USABLE: &str = "Usable";
+/// Reach of a service of which no backend server responds to the VM.
+const LOST: &str = "Lost";
 
 /// Formats an overview: the VM, each service, and each backend server that is not `Usable`.
 pub fn overview(status: &GatewayStatus) -> String {
@@ -60,8 +62,9 @@
 /// Returns the summary line of a service.
 fn service_summary(service: &ServiceStatus) -> String {
     let usable = service.servers.iter().filter(|server| server.availability == USABLE).count();
+    let lost = if service.reach == LOST { ", none responds to this VM" } else { "" };
     format!(
-        "{}: {usable} of {} backend servers usable, {} extra attempts for {} requests in the window",
+        "{}: {usable} of {} backend servers usable{lost}, {} extra attempts for {} requests in the window",
         service.name,
         service.servers.len(),
         service.extra_in_window,
--- a/crates/hawthornstand/tests/gateway_connections.rs
+++ b/crates/hawthornstand/tests/gateway_connections.rs
@@ -18,7 +18,7 @@
 fn server(address: SocketAddr, max_open: usize) -> Server {
     let published = PublishedServer { address, ..published_server("i-1") };
     let pool = Pool::new(address, max_open, Arc::default());
-    Server::new(published, Proximity::SameRegion, pool, Arc::default())
+    Server::new(published, Proximity::SameRegion, pool, Arc::default(), Arc::default())
 }
 
 #[tokio::test]
--- a/crates/hawthornstand/tests/gateway_load.rs
+++ b/crates/hawthornstand/tests/gateway_load.rs
@@ -25,7 +25,13 @@
 fn replica(id: &str, proximity: Proximity, service_time: Arc<ServiceTime>) -> Server {
     let published = PublishedServer { slots: 3, ..published_server(id) };
     let address = published.address;
-    Server::new(published, proximity, Pool::new(address, 8, Arc::default()), service_time)
+    Server::new(
+        published,
+        proximity,
+        Pool::new(address, 8, Arc::default()),
+        service_time,
+        Arc::default(),
+    )
 }
 
 /// A shard: a replica in the same failure domain and two in other regions.
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -36,16 +36,26 @@
         era: 1,
         confirmed_ms_ago: Some(820),
         store_away: true,
-        services: vec![ServiceStatus {
-            name: "shard-a".to_string(),
-            requests_in_window: 190,
-            extra_in_window: 21,
-            servers: vec![
-                server("i-1", "Usable", "Listed"),
-                server("i-2", "Pausing", "Listed"),
-                server("i-3", "Unusable", "Leaving"),
-            ],
-        }],
+        services: vec![
+            ServiceStatus {
+                name: "shard-a".to_string(),
+                reach: "Partly".to_string(),
+                requests_in_window: 190,
+                extra_in_window: 21,
+                servers: vec![
+                    server("i-1", "Usable", "Listed"),
+                    server("i-2", "Pausing", "Listed"),
+                    server("i-3", "Unusable", "Leaving"),
+                ],
+            },
+            ServiceStatus {
+                name: "shard-b".to_string(),
+                reach: "Lost".to_string(),
+                requests_in_window: 190,
+                extra_in_window: 0,
+                servers: vec![server("i-4", "Unusable", "Listed")],
+            },
+        ],
     }
 }
 
