Hand requests to another VM while this one does not reach the backend servers

Cause: a VM is taken for able to serve because it runs. Requests knew one way, this VM's own connections; relays accepted searches whatever they reached.

Change: reach/needs.rs says whether this VM reaches enough of the services of a request, reach/handover.rs hands it over if not: at once where that is known, while it runs (as an extra attempt, within the budget, idempotent requests only) where that becomes known, and after attempts that have certainly not run. The links, offers and hosts of relays carry it, for requests to one service with a message that builds without it are not sent (handshake header). A VM without contact refuses, so a request makes one hop. A request that may run once is offered again only after a refusal; where a VM that took it is lost, its outcome is unknown. After a loss of contact, silences since its beginning are forgotten.

--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -365,6 +365,15 @@
         }
     }
 
+    /// Forgets that backend servers fell silent at an instant or later, because this VM was cut off then.
+    pub fn forget_silences(&self, since: Instant) {
+        for service in self.services() {
+            for server in service.servers().iter() {
+                server.forget_silence(since);
+            }
+        }
+    }
+
     /// Returns the number of backend servers that are listed.
     pub fn listed_count(&self) -> usize {
         let services = self.services();
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -47,23 +47,28 @@
         let drain = settings.borrow().drain;
         state.expire_entries(drain);
         state.activate_held_config();
-        log_reach(&state);
+        update_reach(&state);
         probe_unresponsive(&state, &context);
+        probe_for_contact(&state, &context);
         if Instant::now() >= open_from {
             open_in_advance(&state);
         }
     }
 }
 
-/// Logs which services this VM no longer reaches, or reaches again.
-fn log_reach(state: &PublishedState) {
+/// Follows which services this VM no longer reaches, or reaches again.
+fn update_reach(state: &PublishedState) {
     let now = Instant::now();
     match state.directory.contact.take_change(now) {
         Some(ContactChange::Lost { silent_for, silent_servers }) => {
             log::warn!(silent_ms = silent_for.as_millis() as u64, silent_servers = silent_servers;
                 "no backend server of any service responds to this VM; is it cut off?");
         }
-        Some(ContactChange::Regained) => log::info!("backend servers respond to this VM again"),
+        Some(ContactChange::Regained { lost_since }) => {
+            log::info!(lost_ms = now.saturating_duration_since(lost_since).as_millis() as u64;
+                "backend servers respond to this VM again");
+            state.directory.forget_silences(lost_since);
+        }
         None => {}
     }
     for service in state.directory.services() {
@@ -93,6 +98,27 @@
     }
 }
 
+/// Probes one backend server of any service while none responds.
+fn probe_for_contact(state: &PublishedState, context: &GatewayContext) {
+    if state.directory.contact.lost_for(Instant::now()).is_none() {
+        return;
+    }
+    let services = state.directory.services();
+    let first = rand::random_range(0..services.len().max(1));
+    for offset in 0..services.len() {
+        let service = &services[(first + offset) % services.len()];
+        let mut servers = service.servers().as_ref().clone();
+        servers.retain(|server| server.allows_requests());
+        if servers.is_empty() {
+            continue;
+        }
+        let server = servers.swap_remove(rand::random_range(0..servers.len()));
+        context.telemetry.probes.inc();
+        tokio::spawn(probe(Arc::clone(service), server, context.clone()));
+        return;
+    }
+}
+
 /// Sends a health probe on a connection of its own, and checks the id of the backend server that answers.
 async fn probe(service: Arc<Service>, server: Arc<Server>, context: GatewayContext) {
     let sent_at = Instant::now();
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt_outcomes;
 pub mod attempts;
 pub mod call;
+pub mod connection_headers;
 pub mod connection_queue;
 pub mod crash_tracker;
 pub mod daemon;
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -12,6 +12,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
+use tokio_tungstenite::tungstenite::http::{HeaderMap, HeaderValue};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::gateway::peer_messages::PeerMessage;
@@ -19,7 +20,7 @@
 use crate::gateway::pulls::PullStep;
 use crate::gateway::relays::choice::VmProfile;
 use crate::gateway::relays::host::RelayHost;
-use crate::gateway::relays::messages::RELAY_PATH;
+use crate::gateway::relays::messages::{RELAY_PATH, REQUESTS_HEADER};
 use crate::gateway::server::Proximity;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::store_version::StoreVersion;
@@ -77,8 +78,12 @@
             #[allow(clippy::result_large_err)]
             let accepted = tokio_tungstenite::accept_hdr_async_with_config(
                 stream,
-                |request: &Request, response: Response| {
+                |request: &Request, mut response: Response| {
                     carries_searches = request.uri().path() == RELAY_PATH;
+                    if carries_searches {
+                        let value = HeaderValue::from_static("1");
+                        response.headers_mut().insert(REQUESTS_HEADER, value);
+                    }
                     Ok(response)
                 },
                 Some(socket_config()),
@@ -114,7 +119,7 @@
     loop {
         if let Some(address) = peers.pick_unlinked() {
             match tokio::time::timeout(OPEN_TIMEOUT, open(address, "/")).await {
-                Ok(Ok(socket)) => {
+                Ok(Ok((socket, _))) => {
                     log::info!(peer = address.to_string(); "link opened");
                     let reason = tokio::select! {
                         reason = run_link(&peers, socket) => reason,
@@ -152,18 +157,18 @@
     known_at_open * 2 <= known && known > LINKS_PER_VM
 }
 
-/// Opens a WebSocket connection to a path of another VM.
+/// Opens a WebSocket connection to a path of another VM; returns it with the headers of the handshake.
 pub async fn open(
     address: SocketAddr,
     path: &str,
-) -> Result<WebSocketStream<TcpStream>, Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<(WebSocketStream<TcpStream>, HeaderMap), Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     silent_peer::close_when_silent(&stream);
     let url = format!("ws://{address}{path}");
-    let (socket, _) =
+    let (socket, response) =
         tokio_tungstenite::client_async_with_config(url, stream, Some(socket_config())).await?;
-    Ok(socket)
+    Ok((socket, response.into_parts().0.headers))
 }
 
 /// Returns the WebSocket configuration of links.
--- a/crates/hawthornstand/src/gateway/reach/contact.rs
+++ b/crates/hawthornstand/src/gateway/reach/contact.rs
@@ -27,19 +27,22 @@
         silent_since: Option<Instant>,
         /// Backend servers that did not respond to what was sent after the last response of any; sorted.
         silent_servers: Vec<SocketAddr>,
-        was_lost: bool,
+        /// Beginning of the loss of contact that was last reported as a change, until its end is.
+        reported_loss: Option<Instant>,
     }
 
     /// A change of the contact to backend servers.
     #[derive(Copy, Eq)]
     pub enum ContactChange {
         Lost { silent_for: Duration, silent_servers: usize },
-        Regained,
+        /// All silences since this instant are explained by the loss of contact.
+        Regained { lost_since: Instant },
     }
 }
 
 impl Contact {
-    /// Records a response of any backend server, also an accepted connection.
+    /// Records a response of any backend server. An accepted connection is none: a backend server may accept connections
+    /// whose requests do not reach it.
     pub fn record_response(&self, now: Instant) {
         let mut state = lock(&self.0);
         state.last_response = Some(now);
@@ -67,15 +70,18 @@
     /// Returns a change since the last call.
     pub fn take_change(&self, now: Instant) -> Option<ContactChange> {
         let mut state = lock(&self.0);
-        let lost_for = state.lost_for(now);
-        if std::mem::replace(&mut state.was_lost, lost_for.is_some()) == lost_for.is_some() {
-            return None;
-        }
         let silent_servers = state.silent_servers.len();
-        Some(match lost_for {
-            Some(silent_for) => ContactChange::Lost { silent_for, silent_servers },
-            None => ContactChange::Regained,
-        })
+        match (state.lost_for(now), state.reported_loss) {
+            (Some(silent_for), None) => {
+                state.reported_loss = state.silent_since;
+                Some(ContactChange::Lost { silent_for, silent_servers })
+            }
+            (None, Some(lost_since)) => {
+                state.reported_loss = None;
+                Some(ContactChange::Regained { lost_since })
+            }
+            _ => None,
+        }
     }
 }
 
--- a/crates/hawthornstand/src/gateway/relays/choice.rs
+++ b/crates/hawthornstand/src/gateway/relays/choice.rs
@@ -65,6 +65,27 @@
     ordered.into_iter().map(|relay| relay.address).collect()
 }
 
+/// Returns the VMs that take requests of a VM which reaches too few backend servers, in its order: in turn one of its
+/// failure domain, all of which may be cut off, and one of another.
+pub fn helpers<'a>(
+    own: SocketAddr,
+    location: &Location,
+    candidates: impl Iterator<Item = &'a VmProfile>,
+) -> Vec<SocketAddr> {
+    let own_key = weight(0, own);
+    let mut others: Vec<&VmProfile> = candidates.filter(|vm| vm.address != own).collect();
+    others.sort_by_key(|vm| (weight(own_key, vm.address), vm.address));
+    let (near, distant): (Vec<&VmProfile>, Vec<&VmProfile>) =
+        others.into_iter().partition(|vm| vm.failure_domain == location.failure_domain);
+    let mut ordered = Vec::with_capacity(near.len() + distant.len());
+    for index in 0..near.len().max(distant.len()) {
+        for vms in [&near, &distant] {
+            ordered.extend(vms.get(index).map(|vm| vm.address));
+        }
+    }
+    ordered
+}
+
 /// Returns the profiles that a VM reports to others: those of the best relays of each region, and its own.
 pub fn reported(profiles: &[VmProfile], location: &Location, own: SocketAddr) -> Vec<VmProfile> {
     let mut regions: Vec<&str> =
--- a/crates/hawthornstand/src/gateway/relays/host.rs
+++ b/crates/hawthornstand/src/gateway/relays/host.rs
@@ -1,5 +1,6 @@
-//! Runs searches for other VMs.
+//! Runs searches and requests for other VMs.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -20,13 +21,18 @@
 use crate::gateway::attempts::GatewayContext;
 use crate::gateway::call::OutboundRequest;
 use crate::gateway::directory::Service;
+use crate::gateway::forward;
 use crate::gateway::model::{Idempotency, Route, ShardSet, Target};
-use crate::gateway::relays::messages::{RelayMessage, RelayedSearch, SearchId};
+use crate::gateway::relays::messages::{
+    ForwardedAnswer, RelayMessage, RelayedRequest, RelayedSearch, SearchId,
+};
+use crate::gateway::relays::offer;
 use crate::gateway::request_guard::RequestGuard;
 use crate::gateway::request_load::RequestLoad;
 use crate::gateway::scatter::{self, MergedAnswer};
 use crate::gateway::state::PublishedState;
 use crate::gateway::time_budget::TimeBudget;
+use crate::ids::ServiceName;
 use crate::process::clock::Clock;
 
 /// Time without a received message after which a link is closed.
@@ -35,6 +41,10 @@
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time that a search of another VM may take; instants further away cannot be represented everywhere.
 const MAX_TIME_LIMIT: Duration = Duration::from_secs(3600);
+/// Time without contact to any backend server after which a search is given back, so that another VM runs it.
+const MAX_SILENCE: Duration = Duration::from_millis(100);
+/// Interval at which the contact is checked.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Finished searches buffered for a link that sends slowly.
 const ANSWER_BUFFER: usize = 64;
 
@@ -73,7 +83,7 @@
     }
 
     /// Runs the searches that arrive on a link until it closes; returns the reason.
-    pub async fn run_link<S>(&self, socket: WebSocketStream<S>) -> String
+    pub async fn run_link<S>(self: &Arc<Self>, socket: WebSocketStream<S>) -> String
     where
         S: AsyncRead + AsyncWrite + Unpin,
     {
@@ -87,12 +97,24 @@
         }
     }
 
-    /// Returns the shards of a search; none if this VM does not run it.
-    fn accept(&self, search: &RelayedSearch) -> Option<Vec<Arc<Service>>> {
-        if self.load.is_stopping() || !self.state.is_initialized() {
+    /// Returns the services of a search or request; none if this VM does not run it.
+    fn accept(&self, services: &[ServiceName]) -> Option<Vec<Arc<Service>>> {
+        let has_contact = self.state.directory.contact.lost_for(Instant::now()).is_none();
+        if self.load.is_stopping() || !self.state.is_initialized() || !has_contact {
             return None;
         }
-        search.shards.iter().map(|name| self.state.directory.known_service(name)).collect()
+        services.iter().map(|name| self.state.directory.known_service(name)).collect()
+    }
+
+    /// Waits until this VM has had no contact to any backend server for a while.
+    async fn contact_lost(&self) {
+        loop {
+            tokio::time::sleep(CONTACT_CHECK_INTERVAL).await;
+            let lost_for = self.state.directory.contact.lost_for(Instant::now());
+            if lost_for.is_some_and(|time| time >= MAX_SILENCE) {
+                return;
+            }
+        }
     }
 }
 
@@ -100,7 +122,7 @@
 struct HostedLink<'a, S> {
     answers: mpsc::Sender<RelayMessage>,
     answered: mpsc::Receiver<RelayMessage>,
-    host: &'a RelayHost,
+    host: &'a Arc<RelayHost>,
     running: Vec<(SearchId, AbortHandle)>,
     socket: WebSocketStream<S>,
 }
@@ -133,7 +155,11 @@
                     self.handle(message).await?;
                 }
                 Some(answer) = self.answered.recv() => {
-                    if let RelayMessage::Answered { id, .. } | RelayMessage::Failed { id, .. } = &answer {
+                    if let RelayMessage::Answered { id, .. }
+                    | RelayMessage::Failed { id, .. }
+                    | RelayMessage::Refused { id }
+                    | RelayMessage::Responded { id, .. } = &answer
+                    {
                         self.running.retain(|(running, _)| running != id);
                     }
                     self.send(&answer).await?;
@@ -152,7 +178,8 @@
         let message: RelayMessage = ciborium::from_reader(bytes.as_ref())
             .map_err(|error| format!("malformed message: {error}"))?;
         match message {
-            RelayMessage::Search { id, search } => self.start(id, *search).await,
+            RelayMessage::Search { id, search } => self.start_search(id, *search).await,
+            RelayMessage::Request { id, request } => self.start_request(id, *request).await,
             RelayMessage::Cancel { id } => {
                 for (running, search) in &self.running {
                     if *running == id {
@@ -166,29 +193,68 @@
             RelayMessage::Accepted { .. }
             | RelayMessage::Answered { .. }
             | RelayMessage::Failed { .. }
-            | RelayMessage::Refused { .. } => Err("unexpected message".to_string()),
+            | RelayMessage::Refused { .. }
+            | RelayMessage::Responded { .. } => Err("unexpected message".to_string()),
         }
     }
 
     /// Starts a search in a task of its own, or refuses it.
-    async fn start(&mut self, id: SearchId, search: RelayedSearch) -> Result<(), String> {
-        let Some((shards, request)) = self.host.accept(&search).zip(outbound_request(&search))
+    async fn start_search(&mut self, id: SearchId, search: RelayedSearch) -> Result<(), String> {
+        let Some((shards, request)) = self.host.accept(&search.shards).zip(search.to_outbound())
         else {
             return self.send(&RelayMessage::Refused { id }).await;
         };
+        self.host.context.telemetry.hosted_searches.inc();
+        let host = Arc::clone(self.host);
+        self.start(id, async move {
+            tokio::select! {
+                biased;
+                result = run_search(&search, &shards, request, &host) => match result {
+                    Ok(MergedAnswer { body, missing, signatures }) => {
+                        RelayMessage::Answered { id, body, missing, signatures }
+                    }
+                    Err(failure) => RelayMessage::Failed { id, refusal: failure.to_refusal() },
+                },
+                () = host.contact_lost() => RelayMessage::Refused { id },
+            }
+        })
+        .await
+    }
+
+    /// Starts a request in a task of its own, or refuses it.
+    async fn start_request(&mut self, id: SearchId, relayed: RelayedRequest) -> Result<(), String> {
+        let services = self.host.accept(std::slice::from_ref(&relayed.service));
+        let service = services.and_then(|mut services| services.pop());
+        let Some((service, request)) = service.zip(relayed.to_outbound()) else {
+            return self.send(&RelayMessage::Refused { id }).await;
+        };
+        self.host.context.telemetry.hosted_requests.inc();
+        let host = Arc::clone(self.host);
+        self.start(id, async move {
+            let may_give_back = relayed.is_idempotent;
+            tokio::select! {
+                biased;
+                result = run_request(&relayed, &service, request, &host) => match result {
+                    Ok(answer) => RelayMessage::Responded { id, answer },
+                    Err(failure) => RelayMessage::Failed { id, refusal: failure.to_refusal() },
+                },
+                () = host.contact_lost(), if may_give_back => RelayMessage::Refused { id },
+            }
+        })
+        .await
+    }
+
+    /// Runs a search or request in a task of its own, and sends its answer.
+    async fn start(
+        &mut self,
+        id: SearchId,
+        answer: impl Future<Output = RelayMessage> + Send + 'static,
+    ) -> Result<(), String> {
         let answers = self.answers.clone();
-        let (clock, context) = (Arc::clone(&self.host.clock), self.host.context.clone());
         let running = self.host.load.begin();
-        context.telemetry.hosted_searches.inc();
         let task = tokio::spawn(async move {
-            let result = run_search(&search, &shards, request, clock, &context).await;
+            let answer = answer.await;
             drop(running);
-            let answer = match result {
-                Ok(MergedAnswer { body, missing, signatures }) => {
-                    RelayMessage::Answered { id, body, missing, signatures }
-                }
-                Err(failure) => RelayMessage::Failed { id, refusal: failure.to_refusal() },
-            };
             // Sending fails if the link has closed.
             let _ = answers.send(answer).await;
         });
@@ -211,24 +277,57 @@
     Ok(bytes.into())
 }
 
-/// Returns the request that is sent to backend servers; none if the search is malformed.
-fn outbound_request(search: &RelayedSearch) -> Option<Arc<OutboundRequest>> {
-    let mut headers = HeaderMap::with_capacity(search.headers.len());
-    for (name, value) in &search.headers {
+impl RelayedSearch {
+    /// Returns the request that is sent to backend servers; none if the search is malformed.
+    fn to_outbound(&self) -> Option<Arc<OutboundRequest>> {
+        Some(Arc::new(OutboundRequest {
+            attempt_outcomes: AttemptOutcomes::default(),
+            body: self.body.clone(),
+            headers: header_map(&self.headers)?,
+            idempotency: Idempotency::Idempotent,
+            method: Method::from_bytes(self.method.as_bytes()).ok()?,
+            request_id: self.request_id.clone(),
+            uri: self.uri.parse::<Uri>().ok()?,
+        }))
+    }
+}
+
+impl RelayedRequest {
+    /// Returns the request that is sent to a backend server; none if it is malformed.
+    fn to_outbound(&self) -> Option<Arc<OutboundRequest>> {
+        Some(Arc::new(OutboundRequest {
+            attempt_outcomes: AttemptOutcomes::default(),
+            body: self.body.clone(),
+            headers: header_map(&self.headers)?,
+            idempotency: self.idempotency(),
+            method: Method::from_bytes(self.method.as_bytes()).ok()?,
+            request_id: self.request_id.clone(),
+            uri: self.uri.parse::<Uri>().ok()?,
+        }))
+    }
+
+    fn idempotency(&self) -> Idempotency {
+        if self.is_idempotent { Idempotency::Idempotent } else { Idempotency::AtMostOnce }
+    }
+}
+
+/// Returns headers from their names and values; none if one is malformed.
+fn header_map(list: &[(String, Bytes)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(list.len());
+    for (name, value) in list {
         headers.append(
             HeaderName::from_bytes(name.as_bytes()).ok()?,
             HeaderValue::from_maybe_shared(value.clone()).ok()?,
         );
     }
-    Some(Arc::new(OutboundRequest {
-        attempt_outcomes: AttemptOutcomes::default(),
-        body: search.body.clone(),
-        headers,
-        idempotency: Idempotency::Idempotent,
-        method: Method::from_bytes(search.method.as_bytes()).ok()?,
-        request_id: search.request_id.clone(),
-        uri: search.uri.parse::<Uri>().ok()?,
-    }))
+    Some(headers)
+}
+
+/// Returns the time budget of a request that arrived at another VM.
+fn time_budget(host: &RelayHost, spent_ms: u64, left_ms: u64) -> TimeBudget {
+    let spent = Duration::from_millis(spent_ms).min(MAX_TIME_LIMIT);
+    let left = Duration::from_millis(left_ms).min(MAX_TIME_LIMIT);
+    TimeBudget::resume(Arc::clone(&host.clock), spent, spent + left)
 }
 
 /// Runs a search on its shards.
@@ -236,13 +335,9 @@
     search: &RelayedSearch,
     shards: &[Arc<Service>],
     request: Arc<OutboundRequest>,
-    clock: Arc<dyn Clock>,
-    context: &GatewayContext,
+    host: &RelayHost,
 ) -> Result<MergedAnswer, Failure> {
-    let spent = Duration::from_millis(search.time_spent_ms).min(MAX_TIME_LIMIT);
-    let left = Duration::from_millis(search.time_left_ms).min(MAX_TIME_LIMIT);
-    let time_limit = spent + left;
-    let time_budget = TimeBudget::resume(clock, spent, time_limit);
+    let time_budget = time_budget(host, search.time_spent_ms, search.time_left_ms);
     let shard_set = ShardSet {
         services: search.shards.clone(),
         min_shard_fraction: search.min_shard_fraction,
@@ -253,14 +348,41 @@
         host: String::new(),
         path_prefix: String::new(),
         idempotency: Idempotency::Idempotent,
-        time_limit,
+        time_limit: time_budget.total(),
         target_latency: Duration::from_millis(search.target_latency_ms).min(MAX_TIME_LIMIT),
         max_attempts: search.max_attempts,
         priority: search.priority,
         target: Target::Shards(shard_set.clone()),
     };
+    let context = &host.context;
     let guard = RequestGuard::new(&request, search.fingerprint, &time_budget, context);
     let result = scatter::run(&route, &shard_set, shards, &request, &time_budget, context).await;
     guard.mark_answered();
     result
 }
+
+/// Runs a request on a backend server of its service.
+async fn run_request(
+    relayed: &RelayedRequest,
+    service: &Service,
+    request: Arc<OutboundRequest>,
+    host: &RelayHost,
+) -> Result<ForwardedAnswer, Failure> {
+    let time_budget = time_budget(host, relayed.time_spent_ms, relayed.time_left_ms);
+    let route = Route {
+        name: String::new(),
+        host: String::new(),
+        path_prefix: String::new(),
+        idempotency: relayed.idempotency(),
+        time_limit: time_budget.total(),
+        target_latency: Duration::from_millis(relayed.target_latency_ms).min(MAX_TIME_LIMIT),
+        max_attempts: relayed.max_attempts,
+        priority: relayed.priority,
+        target: Target::Weighted(Vec::new()),
+    };
+    let context = &host.context;
+    let guard = RequestGuard::new(&request, relayed.fingerprint, &time_budget, context);
+    let result = forward::run(&route, service, &request, &time_budget, context).await;
+    guard.mark_answered();
+    result.map(offer::forwarded)
+}
--- a/crates/hawthornstand/src/gateway/relays/link.rs
+++ b/crates/hawthornstand/src/gateway/relays/link.rs
@@ -14,8 +14,10 @@
 
 use crate::error::Failure;
 use crate::gateway::relays::host;
-use crate::gateway::relays::messages::{RelayMessage, RelayedSearch, SearchId};
+use crate::gateway::relays::messages::{RelayMessage, SearchId};
+use crate::gateway::relays::offer::RequestAnswer;
 use crate::gateway::scatter::MergedAnswer;
+use crate::gateway::server::Proximity;
 use crate::gateway::telemetry::Telemetry;
 use crate::locks::lock;
 
@@ -28,8 +30,9 @@
 /// Time for which a relay that did not accept a search is not used, before it doubles.
 const MIN_AVOID_TIME: Duration = Duration::from_secs(1);
 const MAX_AVOID_TIME: Duration = Duration::from_secs(8);
-/// Time for which a relay that refused a search is not used.
+/// Time for which a relay that refused a search is not used, before it doubles.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+const MAX_REFUSAL_PAUSE: Duration = Duration::from_millis(800);
 /// Messages buffered for a link that sends slowly; a search that does not fit is run by this VM.
 const SEND_BUFFER: usize = 64;
 
@@ -37,7 +40,7 @@
 #[derive(Debug)]
 pub enum SearchEvent {
     Accepted,
-    Answered(MergedAnswer),
+    Answered(RequestAnswer),
     Failed(Failure),
     Refused,
 }
@@ -47,12 +50,17 @@
 struct Avoidance {
     /// Searches in a row that the relay did not accept.
     failures: u32,
+    /// Searches in a row that the relay refused.
+    refusals: u32,
     until: Instant,
 }
 
 /// An open link to a relay.
 pub struct RelayLink {
     pub address: SocketAddr,
+    /// Whether the VM also runs requests to one service.
+    pub carries_requests: bool,
+    pub proximity: Proximity,
     avoidance: Mutex<Avoidance>,
     /// Whether the link closes once no search waits on it.
     is_retired: AtomicBool,
@@ -64,11 +72,18 @@
 
 impl RelayLink {
     /// Creates a link that has just been opened, and the receiver of the messages to send on it.
-    pub fn new(address: SocketAddr, now: Instant) -> (Self, mpsc::Receiver<RelayMessage>) {
+    pub fn new(
+        address: SocketAddr,
+        proximity: Proximity,
+        carries_requests: bool,
+        now: Instant,
+    ) -> (Self, mpsc::Receiver<RelayMessage>) {
         let (outgoing, to_send) = mpsc::channel(SEND_BUFFER);
         let link = Self {
             address,
-            avoidance: Mutex::new(Avoidance { failures: 0, until: now }),
+            carries_requests,
+            proximity,
+            avoidance: Mutex::new(Avoidance { failures: 0, refusals: 0, until: now }),
             is_retired: AtomicBool::new(false),
             last_received: Mutex::new(now),
             pending: Mutex::default(),
@@ -104,6 +119,11 @@
         lock(&self.last_received).elapsed()
     }
 
+    /// Returns the number of searches that wait on the link.
+    pub fn pending(&self) -> usize {
+        lock(&self.pending).len()
+    }
+
     /// Closes the link once no search waits on it.
     pub fn retire(&self) {
         self.is_retired.store(true, Ordering::Relaxed);
@@ -119,16 +139,21 @@
 
     /// Records that the relay accepted a search.
     pub fn record_accepted(&self) {
-        lock(&self.avoidance).failures = 0;
+        let mut avoidance = lock(&self.avoidance);
+        (avoidance.failures, avoidance.refusals) = (0, 0);
     }
 
-    /// Stops using a relay that refused a search for a moment: it is stopping, or is about to learn of new shards.
+    /// Stops using a relay that refused a search for a moment: it is stopping, is about to learn of new shards, or reaches no
+    /// backend server.
     pub fn pause_after_refusal(&self, now: Instant) {
-        lock(&self.avoidance).until = now + REFUSAL_PAUSE;
+        let mut avoidance = lock(&self.avoidance);
+        let pause = REFUSAL_PAUSE * 2_u32.pow(avoidance.refusals.min(8));
+        avoidance.refusals += 1;
+        avoidance.until = now + pause.min(MAX_REFUSAL_PAUSE);
     }
 
-    /// Sends a search; none if the link is stuck.
-    pub fn send(&self, id: SearchId, search: RelayedSearch) -> Option<PendingSearch<'_>> {
+    /// Sends a search or request; none if the link is stuck.
+    pub fn send(&self, id: SearchId, message: RelayMessage) -> Option<PendingSearch<'_>> {
         let (sender, events) = mpsc::unbounded_channel();
         {
             let mut pending = lock(&self.pending);
@@ -136,7 +161,6 @@
             pending.insert(index, (id, sender));
         }
         let mut pending = PendingSearch { events, has_ended: true, id, link: self };
-        let message = RelayMessage::Search { id, search: Box::new(search) };
         self.outgoing.try_send(message).ok()?;
         pending.has_ended = false;
         Some(pending)
@@ -147,15 +171,20 @@
         let (id, event) = match message {
             RelayMessage::Accepted { id } => (id, SearchEvent::Accepted),
             RelayMessage::Answered { id, body, missing, signatures } => {
-                (id, SearchEvent::Answered(MergedAnswer { body, missing, signatures }))
+                let merged = MergedAnswer { body, missing, signatures };
+                (id, SearchEvent::Answered(RequestAnswer::Merged(merged)))
+            }
+            RelayMessage::Responded { id, answer } => {
+                (id, SearchEvent::Answered(RequestAnswer::Forwarded(answer)))
             }
             RelayMessage::Failed { id, refusal } => {
                 (id, SearchEvent::Failed(Failure::from_refusal(refusal)))
             }
             RelayMessage::Refused { id } => (id, SearchEvent::Refused),
-            RelayMessage::Ping | RelayMessage::Cancel { .. } | RelayMessage::Search { .. } => {
-                return;
-            }
+            RelayMessage::Ping
+            | RelayMessage::Cancel { .. }
+            | RelayMessage::Request { .. }
+            | RelayMessage::Search { .. } => return,
         };
         let pending = lock(&self.pending);
         // The search may have been cancelled.
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -7,42 +7,34 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::error::{ErrorKind, Failure};
 use crate::gateway::attempt_outcomes::AttemptOutcomes;
 use crate::gateway::attempts::GatewayContext;
-use crate::gateway::call::{Answer, OutboundRequest};
+use crate::gateway::call::OutboundRequest;
 use crate::gateway::directory::Service;
-use crate::gateway::model::{Route, Target};
+use crate::gateway::model::{Route, ShardSet, Target};
+use crate::gateway::reach::handover;
+use crate::gateway::reach::needs::Needs;
 use crate::gateway::relays::links::RelayLinks;
-use crate::gateway::relays::offer::{RelayResult, SearchOffer};
+use crate::gateway::relays::messages::ForwardedAnswer;
+use crate::gateway::relays::offer::{self, Offer, OfferResult, OfferTarget, RequestAnswer};
 use crate::gateway::request_guard::RequestGuard;
 use crate::gateway::request_load::RequestLoad;
 use crate::gateway::routes::{Destination, ResolvedRoute};
 use crate::gateway::scatter::MergedAnswer;
 use crate::gateway::state::PublishedState;
 use crate::gateway::time_budget::TimeBudget;
-use crate::gateway::{forward, scatter, status};
+use crate::gateway::{connection_headers, forward, partial, scatter, status};
 use crate::ids::{self, Fingerprint, id_text};
 use crate::messages::Outcome;
 use crate::process::clock::Clock;
 use crate::process::http_body;
 use crate::process::http_server::HttpLimits;
 
-/// Headers that belong to one connection only (RFC 9110, section 7.6.1), and the length, which hyper sets.
-const CONNECTION_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Time after which a search whose relays were lost may be sent again: others are used at once.
 const RELAY_LOST_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Time after which a caller may come back to a VM that has just started and has not failed to reach the store: it is
@@ -136,7 +128,7 @@
             .await
             .map_err(|kind| refuse(kind, "body not read"))?;
         let mut headers = parts.headers;
-        remove_connection_headers(&mut headers);
+        connection_headers::remove(&mut headers);
         let path = parts.uri.path_and_query().cloned();
         let outbound = Arc::new(OutboundRequest {
             attempt_outcomes: AttemptOutcomes::default(),
@@ -171,11 +163,33 @@
         time_budget: &TimeBudget,
     ) -> Result<Response<Full<Bytes>>, Failure> {
         let route = &resolved.route;
-        match (&resolved.destination, &route.target) {
+        let answer = match (&resolved.destination, &route.target) {
             (Destination::Shards(shards), Target::Shards(shard_set)) => {
-                let offer = SearchOffer { fingerprint, request, route, shard_set, time_budget };
-                let merged = self.search(&offer, shards).await?;
-                if !merged.missing.is_empty() {
+                let target = OfferTarget::Search(shard_set);
+                let offer = Offer { fingerprint, request, route, target, time_budget };
+                self.search(offer, shard_set, shards).await?
+            }
+            (Destination::Weighted(services), _) => {
+                let Some(service) = services.next() else {
+                    return Err(Failure::new(ErrorKind::NoReplica, "the route has no service"));
+                };
+                let target = OfferTarget::Service(&service.name);
+                let offer = Offer { fingerprint, request, route, target, time_budget };
+                self.forward(offer, &service).await?
+            }
+            (Destination::Shards(_), Target::Weighted(_)) => {
+                return Err(Failure::new(ErrorKind::NoReplica, "the route is not placed"));
+            }
+        };
+        match answer {
+            RequestAnswer::Forwarded(answer) => {
+                log_late_answer(request, route, time_budget);
+                forwarded_response(answer)
+            }
+            RequestAnswer::Merged(merged) => {
+                if merged.missing.is_empty() {
+                    log_late_answer(request, route, time_budget);
+                } else {
                     self.context.telemetry.partial_answers.inc();
                     log::info!(
                         request = id_text(&request.request_id).as_ref(),
@@ -185,40 +199,45 @@
                         "answered in part"
                     );
                 }
-                if merged.missing.is_empty() {
-                    log_late_answer(request, route, time_budget);
-                }
                 Ok(self.merged_response(merged))
             }
-            (Destination::Weighted(services), _) => {
-                let Some(service) = services.next() else {
-                    return Err(Failure::new(ErrorKind::NoReplica, "the route has no service"));
-                };
-                let answer =
-                    forward::run(route, &service, request, time_budget, &self.context).await?;
-                log_late_answer(request, route, time_budget);
-                Ok(forwarded_response(answer))
-            }
-            (Destination::Shards(_), Target::Weighted(_)) => {
-                Err(Failure::new(ErrorKind::NoReplica, "the route is not placed"))
-            }
         }
     }
 
+    /// Returns the answer of one backend server.
+    async fn forward(
+        &self,
+        offer: Offer<'_>,
+        service: &Arc<Service>,
+    ) -> Result<RequestAnswer, Failure> {
+        let contact = &self.state.directory.contact;
+        let needs = Needs { contact, min_services: 1, services: std::slice::from_ref(service) };
+        let local = async {
+            let Offer { request, route, time_budget, .. } = offer;
+            let answer = forward::run(route, service, request, time_budget, &self.context).await?;
+            Ok(RequestAnswer::Forwarded(offer::forwarded(answer)))
+        };
+        handover::run(offer, needs, self.relays.as_ref(), local).await
+    }
+
     /// Returns the answer to a search, from a relay or from the shards.
     async fn search(
         &self,
-        offer: &SearchOffer<'_>,
+        offer: Offer<'_>,
+        shard_set: &ShardSet,
         shards: &[Arc<Service>],
-    ) -> Result<MergedAnswer, Failure> {
+    ) -> Result<RequestAnswer, Failure> {
+        let contact = &self.state.directory.contact;
+        let min_services = partial::min_shards(shard_set.min_shard_fraction, shards.len());
+        let needs = Needs { contact, min_services, services: shards };
         let result = match &self.relays {
-            Some(relays) => relays.search(offer).await,
-            None => RelayResult::NotAnswered { attempts: 0 },
+            Some(relays) if !needs.are_lost() => relays.search(&offer).await,
+            _ => OfferResult::NotAnswered { attempts: 0 },
         };
         let attempts = match result {
-            RelayResult::Answered(merged) => return Ok(merged),
-            RelayResult::Failed(failure) => return Err(failure),
-            RelayResult::NotAnswered { attempts } => attempts,
+            OfferResult::Answered(merged) => return Ok(merged),
+            OfferResult::Failed(failure) => return Err(failure),
+            OfferResult::NotAnswered { attempts } => attempts,
         };
         let mut route = Cow::Borrowed(offer.route);
         if attempts > 0 {
@@ -234,8 +253,14 @@
                 shard.budget.charge(Instant::now());
             }
         }
-        let (set, time_budget) = (offer.shard_set, offer.time_budget);
-        scatter::run(&route, set, shards, offer.request, time_budget, &self.context).await
+        let offer = Offer { route: &route, ..offer };
+        let local = async {
+            let Offer { request, route, time_budget, .. } = offer;
+            let merged =
+                scatter::run(route, shard_set, shards, request, time_budget, &self.context).await?;
+            Ok(RequestAnswer::Merged(merged))
+        };
+        handover::run(offer, needs, self.relays.as_ref(), local).await
     }
 
     /// Builds the response to a search from the merged answer.
@@ -317,27 +342,21 @@
     }
 }
 
-/// Returns the answer of a backend server, unchanged but for the headers of its connection.
-fn forwarded_response(answer: Answer) -> Response<Full<Bytes>> {
+/// Returns the response that holds the answer of a backend server.
+///
+/// # Errors
+///
+/// Returns a failure if another VM passed on an answer that is no valid response.
+fn forwarded_response(answer: ForwardedAnswer) -> Result<Response<Full<Bytes>>, Failure> {
     let mut response = Response::new(Full::new(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    remove_connection_headers(response.headers_mut());
-    response
-}
-
-/// Removes the headers that belong to one connection.
-fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS).chain([&KEEP_ALIVE]) {
-        headers.remove(name);
+    let malformed = || Failure::new(ErrorKind::OutcomeUnknown, "the answer is malformed");
+    *response.status_mut() = StatusCode::from_u16(answer.status).map_err(|_| malformed())?;
+    for (name, value) in answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| malformed())?;
+        let value = HeaderValue::from_maybe_shared(value).map_err(|_| malformed())?;
+        response.headers_mut().append(name, value);
     }
+    Ok(response)
 }
 
 /// Returns the value of the label `outcome` for a response.
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -143,15 +143,11 @@
         let started = Instant::now();
         let opened = self.pool.open_with(permit).await;
         let now = Instant::now();
-        match opened {
-            Ok(_) => self.contact.record_response(now),
-            Err(ConnectError::Failed) => {
-                self.contact.record_silence(self.published.address, started, now);
-                if self.record_unreachable(now) {
-                    log::info!(server = self.published.id.as_str(); "backend server unreachable");
-                }
+        if matches!(opened, Err(ConnectError::Failed)) {
+            self.contact.record_silence(self.published.address, started, now);
+            if self.record_unreachable(now) {
+                log::info!(server = self.published.id.as_str(); "backend server unreachable");
             }
-            Err(_) => {}
         }
         opened
     }
@@ -278,6 +274,17 @@
         lock(&self.state).update_failure_rate(1.0, BROKEN_CALL_WEIGHT, now);
     }
 
+    /// Forgets that the backend server fell silent at an instant or later.
+    pub fn forget_silence(&self, since: Instant) {
+        let mut state = lock(&self.state);
+        // One that accepts no connection is recorded as silent for a pause already.
+        if state.unresponsive_since.is_some_and(|at| at + MAX_PAUSE >= since) {
+            state.unresponsive_since = None;
+            state.next_probe = None;
+            state.probes = 0;
+        }
+    }
+
     /// Marks the backend server as unresponsive because it accepts no connection; returns whether that is new.
     pub fn record_unreachable(&self, now: Instant) -> bool {
         let mut state = lock(&self.state);
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -67,13 +67,18 @@
         found.ok().map(|index| self.regions[index].1.as_str())
     }
 
-    /// Returns the number of regions.
-    pub fn region_count(&self) -> usize {
+    /// Returns the names of all regions.
+    pub fn region_names(&self) -> Vec<&str> {
         let mut regions: Vec<&str> =
             self.regions.iter().map(|(_, region)| region.as_str()).collect();
         regions.sort_unstable();
         regions.dedup();
-        regions.len()
+        regions
+    }
+
+    /// Returns the number of regions.
+    pub fn region_count(&self) -> usize {
+        self.region_names().len()
     }
 }
 
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -27,7 +27,10 @@
     pub budget_denials: Counter,
     pub crash_refusals: Counter,
     pub departures: Counter,
+    pub handed_over: Counter,
+    pub handover_failures: Counter,
     pub hedges: Counter,
+    pub hosted_requests: Counter,
     pub hosted_searches: Counter,
     pub link_bytes: Counter,
     log_lines_dropped: Counter,
@@ -83,7 +86,19 @@
                 "Requests refused because they crash backend servers",
             ),
             departures: counter("departures", "Callers that left before their answer"),
+            handed_over: counter(
+                "handed_over",
+                "Requests that another VM took because this one reaches too few backend servers",
+            ),
+            handover_failures: counter(
+                "handover_failures",
+                "Requests that no other VM took, or that one lost, while this one reaches too few backend servers",
+            ),
             hedges: counter("hedges", "Second attempts sent while the first ran"),
+            hosted_requests: counter(
+                "hosted_requests",
+                "Requests to one service that this VM began to run for other VMs",
+            ),
             hosted_searches: counter(
                 "hosted_searches",
                 "Searches that this VM began to run for other VMs",
--- a/crates/hawthornstand/src/gateway/time_budget.rs
+++ b/crates/hawthornstand/src/gateway/time_budget.rs
@@ -28,6 +28,11 @@
         Self { clock, started, total }
     }
 
+    /// Returns the whole budget, including the time that is spent.
+    pub fn total(&self) -> Duration {
+        self.total
+    }
+
     /// Returns the time since the start.
     pub fn spent(&self) -> Duration {
         self.clock.since_boot().saturating_sub(self.started)
