Connections that a cut resets are not counted as crashes

What callers could see: requests that ran when a VM was cut off were refused by the whole fleet for a minute, as if they crashed the backend servers.

Cause: a connection that broke and cannot be opened again counted as a crash, also where the VM could open none to any backend server.

A report is made now only while the VM has contact to some backend server.

--- a/crates/hawthornstand/src/gateway/attempt_outcomes.rs
+++ b/crates/hawthornstand/src/gateway/attempt_outcomes.rs
@@ -19,6 +19,8 @@
 /// VM's connections.
 const MAX_CRASH_CHECKS: u32 = 10;
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time within which the attempts on other backend servers show whether this VM reaches any.
+const CONTACT_CONFIRMATION_TIME: Duration = Duration::from_millis(100);
 /// Value of [`AttemptOutcomes::maybe_run`] after which no attempt may be sent.
 const SEALED: u32 = u32::MAX;
 
@@ -83,6 +85,15 @@
             if processes.is_empty() {
                 return;
             }
+            tokio::time::sleep(CONTACT_CONFIRMATION_TIME).await;
+            if broken.iter().any(|server| !server.has_contact(Instant::now())) {
+                log::info!(
+                    request = id_text(&request_id).as_ref(),
+                    unreachable = processes.len();
+                    "not counted as crashes: no backend server responds to this VM"
+                );
+                return;
+            }
             log::info!(
                 request = id_text(&request_id).as_ref(),
                 fingerprint = fingerprint,
--- a/crates/hawthornstand/src/gateway/server.rs
+++ b/crates/hawthornstand/src/gateway/server.rs
@@ -354,6 +354,11 @@
         self.service_time.get() + self.proximity.assumed_round_trip()
     }
 
+    /// Returns whether this VM reaches any backend server.
+    pub fn has_contact(&self, now: Instant) -> bool {
+        self.contact.lost_for(now).is_none()
+    }
+
     /// Returns what this VM has seen of the backend server.
     pub fn evidence(&self, now: Instant) -> ServerEvidence {
         let state = lock(&self.state);
