A request without attempts left is answered at its time limit

What callers saw: a request to one service whose backend servers were all silent got no answer, and kept a thread busy until its caller left.

Cause: with no attempt left the hedge timer was set to the time limit, where it goes before the timer of the limit and is due again at once.

Evidence: the new test got no answer within 10 s before this change (2 of 2), and one after 2.0 s with it.

--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -170,13 +170,13 @@
                         return Ok(answer);
                     }
                 }
-                () = tokio::time::sleep_until(hedge_at), if may_hedge => {
-                    hedge_at = self.hedge(&mut running);
-                }
                 () = tokio::time::sleep_until(self.time_budget.deadline()) => {
                     self.mark_overdue(&running);
                     return Err(AttemptsError::TimedOut);
                 }
+                () = tokio::time::sleep_until(hedge_at), if may_hedge => {
+                    hedge_at = self.hedge(&mut running);
+                }
             }
         }
     }
