A search that a relay gives back goes to another relay

Change: one attempt is left for another VM, as an extra attempt of the budget. A VM that may still run a request is not replaced, as before.

--- a/crates/hawthornstand/src/gateway/reach/handover.rs
+++ b/crates/hawthornstand/src/gateway/reach/handover.rs
@@ -32,10 +32,10 @@
 /// Returns the failure that is reported to the caller.
 pub async fn run(
     offer: Offer<'_>,
-    needs: Needs<'_>,
     links: Option<&Arc<RelayLinks>>,
     local: impl Future<Output = Result<RequestAnswer, Failure>>,
 ) -> Result<RequestAnswer, Failure> {
+    let needs = offer.needs;
     let Some(links) = links else { return local.await };
     if needs.are_lost() {
         match hand_over(offer, links, 0).await {
@@ -65,7 +65,7 @@
             }
         }
         Some(result) => result,
-        None if offer.is_idempotent() => race(offer, needs, links, local.as_mut()).await,
+        None if offer.is_idempotent() => race(offer, links, local.as_mut()).await,
         // Once the outcomes are sealed, the attempts of this VM are never sent.
         None if offer.request.attempt_outcomes.seal_if_not_run() => {
             match hand_over(offer, links, 0).await {
@@ -82,10 +82,10 @@
 /// Hands over a request that is running here, and returns the first answer.
 async fn race(
     offer: Offer<'_>,
-    needs: Needs<'_>,
     links: &Arc<RelayLinks>,
     mut local: Pin<&mut impl Future<Output = Result<RequestAnswer, Failure>>>,
 ) -> Result<RequestAnswer, Failure> {
+    let needs = offer.needs;
     if !needs.take_extra_attempts() {
         return wait_while_reached(needs, local).await;
     }
--- a/crates/hawthornstand/src/gateway/relays/links.rs
+++ b/crates/hawthornstand/src/gateway/relays/links.rs
@@ -300,11 +300,13 @@
         let mut attempts = attempts;
         let mut refusal = None;
         let mut offers = 0;
+        let mut reoffered = false;
         for link in &self.offer_order(offer, reason) {
             if offers == reason.max_offers() || offer.time_budget.is_spent() {
                 break;
             }
             if reason == Reason::Relayed
+                && !reoffered
                 && attempts > 0
                 && attempts + ATTEMPTS_UNACCEPTED >= offer.route.max_attempts
             {
@@ -343,22 +345,25 @@
                     break;
                 }
             }
-            match self.wait_for_answer(pending, offer, attempts).await {
-                OfferResult::NotAnswered { attempts: spent } => {
-                    attempts = spent;
-                    if reason == Reason::Relayed || !offer.is_idempotent() {
-                        return OfferResult::NotAnswered { attempts };
-                    }
+            match self.wait_for_answer(pending, offer).await {
+                Ended::GivenBack if offer.is_idempotent() && offer.needs.take_extra_attempts() => {
+                    // Attempts on backend servers that the VM no longer reaches leave one for another VM.
+                    let most = offer.route.max_attempts.saturating_sub(1);
+                    attempts = (attempts + ATTEMPTS_ACCEPTED).min(most);
+                    reoffered = true;
+                }
+                Ended::GivenBack | Ended::Lost => {
+                    return OfferResult::NotAnswered { attempts: attempts + ATTEMPTS_ACCEPTED };
                 }
                 // Another VM may reach the services.
-                OfferResult::Failed(failure)
+                Ended::Finished(OfferResult::Failed(failure))
                     if reason == Reason::OutOfReach
                         && failure.kind == ErrorKind::NoReplica
                         && failure.outcome == Outcome::NotRun =>
                 {
                     refusal = Some(failure);
                 }
-                result => return result,
+                Ended::Finished(result) => return result,
             }
         }
         if offers > 0 || reason == Reason::OutOfReach {
@@ -383,12 +388,7 @@
     }
 
     /// Waits until a VM that has accepted a request answers.
-    async fn wait_for_answer(
-        &self,
-        mut pending: PendingSearch<'_>,
-        offer: &Offer<'_>,
-        attempts: u32,
-    ) -> OfferResult {
+    async fn wait_for_answer(&self, mut pending: PendingSearch<'_>, offer: &Offer<'_>) -> Ended {
         let deadline = offer.time_budget.deadline();
         let link = pending.link;
         loop {
@@ -396,25 +396,25 @@
             match pending.next(until).await {
                 Some(SearchEvent::Answered(answer)) => {
                     pending.finish();
-                    return OfferResult::Answered(answer);
+                    return Ended::Finished(OfferResult::Answered(answer));
                 }
                 Some(SearchEvent::Failed(failure)) => {
                     pending.finish();
                     if failure.outcome == Outcome::NotRun {
                         offer.request.attempt_outcomes.record_not_run();
                     }
-                    return OfferResult::Failed(failure);
+                    return Ended::Finished(OfferResult::Failed(failure));
                 }
                 Some(SearchEvent::Accepted) => {}
                 Some(SearchEvent::Refused) => {
                     pending.finish();
                     link.pause_after_refusal(Instant::now());
                     offer.log("the relay no longer reaches the backend servers", link.address);
-                    return OfferResult::NotAnswered { attempts: attempts + ATTEMPTS_ACCEPTED };
+                    return Ended::GivenBack;
                 }
                 None if offer.time_budget.is_spent() => {
                     let failure = Failure::new(ErrorKind::DeadlineExceeded, "no answer in time");
-                    return OfferResult::Failed(failure);
+                    return Ended::Finished(OfferResult::Failed(failure));
                 }
                 None => {
                     if !pending.is_lost() && link.silence() < SILENCE_TIMEOUT {
@@ -423,13 +423,22 @@
                     link.avoid(Instant::now());
                     offer.log("the relay was lost while it ran the search", link.address);
                     self.telemetry.relay_failures.inc();
-                    return OfferResult::NotAnswered { attempts: attempts + ATTEMPTS_ACCEPTED };
+                    return Ended::Lost;
                 }
             }
         }
     }
 }
 
+/// How a request ended that another VM had accepted.
+enum Ended {
+    Finished(OfferResult),
+    /// The VM has lost contact to the backend servers and has ended its attempts.
+    GivenBack,
+    /// The VM may still run the request.
+    Lost,
+}
+
 /// Why a request is offered to other VMs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Reason {
--- a/crates/hawthornstand/src/gateway/relays/offer.rs
+++ b/crates/hawthornstand/src/gateway/relays/offer.rs
@@ -11,6 +11,7 @@
 use crate::gateway::call::{Answer, OutboundRequest};
 use crate::gateway::connection_headers;
 use crate::gateway::model::{Idempotency, Route, ShardSet};
+use crate::gateway::reach::needs::Needs;
 use crate::gateway::relays::messages::{
     ForwardedAnswer, RelayMessage, RelayedRequest, RelayedSearch, SearchId,
 };
@@ -48,6 +49,7 @@
 #[derive(Clone, Copy)]
 pub struct Offer<'a> {
     pub fingerprint: Fingerprint,
+    pub needs: Needs<'a>,
     pub request: &'a Arc<OutboundRequest>,
     pub route: &'a Route,
     pub target: OfferTarget<'a>,
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -163,10 +163,14 @@
         time_budget: &TimeBudget,
     ) -> Result<Response<Full<Bytes>>, Failure> {
         let route = &resolved.route;
+        let contact = &self.state.directory.contact;
         let answer = match (&resolved.destination, &route.target) {
             (Destination::Shards(shards), Target::Shards(shard_set)) => {
                 let target = OfferTarget::Search(shard_set);
-                let offer = Offer { fingerprint, request, route, target, time_budget };
+                let fraction = shard_set.min_shard_fraction;
+                let min_services = partial::min_shards(fraction, shards.len());
+                let needs = Needs { contact, min_services, services: shards };
+                let offer = Offer { fingerprint, needs, request, route, target, time_budget };
                 self.search(offer, shard_set, shards).await?
             }
             (Destination::Weighted(services), _) => {
@@ -174,7 +178,9 @@
                     return Err(Failure::new(ErrorKind::NoReplica, "the route has no service"));
                 };
                 let target = OfferTarget::Service(&service.name);
-                let offer = Offer { fingerprint, request, route, target, time_budget };
+                let services = std::slice::from_ref(&service);
+                let needs = Needs { contact, min_services: 1, services };
+                let offer = Offer { fingerprint, needs, request, route, target, time_budget };
                 self.forward(offer, &service).await?
             }
             (Destination::Shards(_), Target::Weighted(_)) => {
@@ -210,14 +216,12 @@
         offer: Offer<'_>,
         service: &Arc<Service>,
     ) -> Result<RequestAnswer, Failure> {
-        let contact = &self.state.directory.contact;
-        let needs = Needs { contact, min_services: 1, services: std::slice::from_ref(service) };
         let local = async {
             let Offer { request, route, time_budget, .. } = offer;
             let answer = forward::run(route, service, request, time_budget, &self.context).await?;
             Ok(RequestAnswer::Forwarded(offer::forwarded(answer)))
         };
-        handover::run(offer, needs, self.relays.as_ref(), local).await
+        handover::run(offer, self.relays.as_ref(), local).await
     }
 
     /// Returns the answer to a search, from a relay or from the shards.
@@ -227,11 +231,8 @@
         shard_set: &ShardSet,
         shards: &[Arc<Service>],
     ) -> Result<RequestAnswer, Failure> {
-        let contact = &self.state.directory.contact;
-        let min_services = partial::min_shards(shard_set.min_shard_fraction, shards.len());
-        let needs = Needs { contact, min_services, services: shards };
         let result = match &self.relays {
-            Some(relays) if !needs.are_lost() => relays.search(&offer).await,
+            Some(relays) if !offer.needs.are_lost() => relays.search(&offer).await,
             _ => OfferResult::NotAnswered { attempts: 0 },
         };
         let attempts = match result {
@@ -260,7 +261,7 @@
                 scatter::run(route, shard_set, shards, request, time_budget, &self.context).await?;
             Ok(RequestAnswer::Merged(merged))
         };
-        handover::run(offer, needs, self.relays.as_ref(), local).await
+        handover::run(offer, self.relays.as_ref(), local).await
     }
 
     /// Builds the response to a search from the merged answer.
