--- a/crates/hawthornstand/tests/silent_connections.rs
+++ b/crates/hawthornstand/tests/silent_connections.rs
@@ -16,13 +16,21 @@
 /// Unit of the timers in `/proc/net/tcp`.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Returns an address as `/proc/net/tcp` writes it.
+fn table_address(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("an IPv4 address") };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+}
+
 /// Returns the timer of a connection: its kind, and the time until it fires.
-fn timer(local: SocketAddr) -> (String, Duration) {
+fn timer(local: SocketAddr, remote: SocketAddr) -> (String, Duration) {
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
-    let port = format!(":{:04X}", local.port());
-    let line = table.lines().skip(1).find(|line| {
-        line.split_whitespace().nth(1).is_some_and(|address| address.ends_with(&port))
-    });
+    // Connections that have ended may have the same local port.
+    let ends = [table_address(local), table_address(remote)];
+    let line = table
+        .lines()
+        .skip(1)
+        .find(|line| line.split_whitespace().skip(1).take(2).eq(ends.iter().map(String::as_str)));
     let field = line.and_then(|line| line.split_whitespace().nth(5)).expect("the connection");
     let (kind, ticks) = field.split_once(':').expect("kind and time of the timer");
     let ticks = u32::from_str_radix(ticks, 16).expect("a hexadecimal number");
@@ -34,7 +42,7 @@
     let (stream, client) = listener.accept().await.expect("a connection");
     // The request has been acknowledged.
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let (kind, first_probe) = timer(client);
+    let (kind, first_probe) = timer(client, listener.local_addr().expect("an address"));
     assert_eq!(kind, KEEPALIVE_TIMER, "no probes");
     assert!(first_probe < STABLE_WINDOW - CATCH_UP_TIME, "first probe after {first_probe:?}");
     stream
