Check the state once its last confirmation is old

Callers got 404 on a route that had been acknowledged up to 7.9 s before. Cause: a VM relied on its open watch, for 6.4 s in a fleet of eight and 1.5 s more until an answer is given up. A change wakes the watches of all VMs, which begin again together, and what the store does not answer in a silent moment, or answers on a connection that loses the answer, it never answers. Probes do not help: the other end acknowledges them.

A VM that reads the store now goes by the age of the last confirmation, its own or another VM's: once that reaches an age drawn between a quarter and half of configApplyMs, it checks the state with a short read beside the watch and announces the confirmation at once, so that one VM checks for all. Confirmations bound silence whatever its cause.

--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -97,7 +97,9 @@
         tokio::spawn(peer_link::run(Arc::clone(&peers), active_settings.clone()));
         read_policy = peers;
     }
-    tokio::spawn(store_watch::run(Arc::clone(&state), store, read_policy, telemetry));
+    let reading =
+        store_watch::run(settings.config_apply, Arc::clone(&state), store, read_policy, telemetry);
+    tokio::spawn(reading);
     let request_handler = Arc::new(RequestHandler {
         clock: Arc::new(SystemClock),
         context,
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -193,6 +193,7 @@
         announced_profiles: Vec::new(),
         announced_version: StoreVersion::default(),
         id,
+        known_confirmation: None,
         last_received: Instant::now(),
         last_sent: Instant::now(),
         pending_confirmation: None,
@@ -229,6 +230,8 @@
     /// Version that was last sent on this link.
     announced_version: StoreVersion,
     id: LinkId,
+    /// The last confirmation by the store that the other VM has announced or was told.
+    known_confirmation: Option<Instant>,
     last_received: Instant,
     last_sent: Instant,
     /// Version that the store confirmed to the other VM, and when; this VM lacks changes up to it.
@@ -242,6 +245,7 @@
     /// Exchanges messages until the link is closed.
     async fn run(&mut self) -> Result<(), String> {
         let mut version = self.peers.state.subscribe();
+        let mut confirmation = self.peers.state.subscribe_to_confirmations();
         let mut known = self.peers.known_addresses.subscribe();
         let mut profiles = self.peers.profiles.subscribe();
         let mut crash_reports = self.peers.crash_tracker.subscribe();
@@ -262,7 +266,8 @@
             self.send(&PeerMessage::Crashed { crashes }).await?;
         }
         loop {
-            let pull_due = self.announce_and_pull().await?;
+            let confirmed_at = *confirmation.borrow_and_update();
+            let pull_due = self.announce_and_pull(confirmed_at).await?;
             let due = [pull_due, self.addresses_due].into_iter().flatten().min();
             let ping_due = self.last_sent + PING_INTERVAL;
             let wake_at = due.map_or(ping_due, |due| due.min(ping_due));
@@ -275,6 +280,7 @@
                     Err(_) => return Err("no message within the idle timeout".to_string()),
                 },
                 _ = version.changed() => {}
+                _ = confirmation.changed() => {}
                 crashes = crash_reports.recv() => match crashes {
                     Ok(crashes) => self.send(&PeerMessage::Crashed { crashes }).await?,
                     Err(error) => log::warn!("crash reports not sent to a VM: {error}"),
@@ -292,14 +298,23 @@
         }
     }
 
-    /// Announces a new version and new addresses, and pulls changes from the other VM if it is this link's turn;
-    /// returns when to check again.
-    async fn announce_and_pull(&mut self) -> Result<Option<Instant>, String> {
+    /// Announces a new version, a new confirmation of `confirmed_at` and new addresses, and pulls changes from the other VM
+    /// if it is this link's turn; returns when to check again.
+    async fn announce_and_pull(
+        &mut self,
+        confirmed_at: Option<Instant>,
+    ) -> Result<Option<Instant>, String> {
         let now = Instant::now();
         let own_version = self.peers.state.as_of();
         self.apply_confirmation(own_version);
-        if own_version > self.announced_version || now >= self.last_sent + PING_INTERVAL {
+        let new_confirmation = confirmed_at
+            .filter(|at| self.peers.state.should_announce(*at, self.known_confirmation));
+        if own_version > self.announced_version
+            || new_confirmation.is_some()
+            || now >= self.last_sent + PING_INTERVAL
+        {
             self.announced_version = own_version;
+            self.known_confirmation = self.known_confirmation.max(new_confirmation);
             let ping = self.peers.ping();
             self.send(&ping).await?;
         }
@@ -392,6 +407,7 @@
                 peers.pulls.record_offer(self.id, self.proximity, offered);
                 let age = age_ms.map(Duration::from_millis);
                 let confirmed_at = age.and_then(|age| Instant::now().checked_sub(age));
+                self.known_confirmation = self.known_confirmation.max(confirmed_at);
                 self.pending_confirmation = confirmed_at.map(|at| (offered, at));
                 self.apply_confirmation(peers.state.as_of());
             }
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -36,6 +36,7 @@
     pub pulls: PullScheduler,
     pub started: Instant,
     pub state: Arc<PublishedState>,
+    config_apply: Duration,
     link_bytes: Counter,
     /// Addresses to which this VM has a link open or is opening one.
     linked: Mutex<Vec<SocketAddr>>,
@@ -66,6 +67,7 @@
             pulls: PullScheduler::default(),
             started: Instant::now(),
             state,
+            config_apply: settings.config_apply,
             link_bytes,
             linked: Mutex::default(),
             next_link_id: AtomicU64::new(0),
@@ -169,11 +171,8 @@
             self.own_address,
             &self.known_addresses.borrow(),
             self.state.confirmation_age(),
+            readers::max_confirmation_age(self.config_apply),
             Instant::now() < self.starting_until,
         )
     }
-
-    fn watch_timeout(&self) -> Duration {
-        readers::watch_timeout(self.known_addresses.borrow().len() + 1)
-    }
 }
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -41,6 +41,8 @@
         /// Number of VMs assumed until links report the others.
         pub assumed_fleet_size: usize,
         pub caller_address: SocketAddr,
+        /// Time within which an acknowledged change of the published state has to be in force.
+        pub config_apply: Duration,
         /// Processor time that the VM may use, in thousandths of a core.
         pub cpu_millicores: u32,
         /// Time after which a leaving backend server must not get new requests.
@@ -88,6 +90,7 @@
     pub fn changes_requiring_restart(&self, new: &Self) -> Vec<&'static str> {
         let changed = [
             ("addresses", self.addresses() != new.addresses()),
+            ("config_apply", self.config_apply != new.config_apply),
             ("extra", self.extra_attempts != new.extra_attempts),
             ("place", self.location != new.location),
             ("vm_id", self.vm_id != new.vm_id),
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -75,6 +75,10 @@
 pub struct PublishedState {
     pub directory: Directory,
     active_config: RwLock<Option<Arc<ActiveConfig>>>,
+    /// The last confirmation that is announced to other VMs.
+    announced_confirmation: watch::Sender<Option<Instant>>,
+    /// By how much a confirmation must be newer to be announced as well.
+    announce_step: Duration,
     /// The last confirmation by the store that this state is current, to this VM or to another one.
     confirmation: Mutex<Option<Confirmation>>,
     contact: Mutex<StoreContact>,
@@ -98,6 +102,8 @@
         Self {
             directory: Directory::new(settings.clone()),
             active_config: RwLock::default(),
+            announced_confirmation: watch::Sender::default(),
+            announce_step: readers::announce_step(settings.config_apply),
             confirmation: Mutex::default(),
             contact: Mutex::new(StoreContact {
                 unreachable: false,
@@ -160,6 +166,23 @@
             last.map(|last| at.saturating_duration_since(last))
         };
         lock(&self.contact).record_confirmation(at, gap);
+        self.announced_confirmation.send_if_modified(|announced| {
+            let is_due = self.should_announce(at, *announced);
+            if is_due {
+                *announced = Some(at);
+            }
+            is_due
+        });
+    }
+
+    /// Subscribes to the confirmations that are announced to other VMs.
+    pub fn subscribe_to_confirmations(&self) -> watch::Receiver<Option<Instant>> {
+        self.announced_confirmation.subscribe()
+    }
+
+    /// Returns whether a confirmation is so much newer than one that another VM knows that it is announced.
+    pub fn should_announce(&self, at: Instant, known: Option<Instant>) -> bool {
+        known.is_none_or(|known| at >= known + self.announce_step)
     }
 
     /// Returns the time since the store last confirmed the state of this VM, also one of an earlier era; none if it never
--- a/crates/hawthornstand/src/gateway/store_watch.rs
+++ b/crates/hawthornstand/src/gateway/store_watch.rs
@@ -7,18 +7,17 @@
 
 use crate::gateway::items::Update;
 use crate::gateway::protocol::{ListConsistency, PublishedStore, StoreError, StoreList};
+use crate::gateway::readers::{self, WATCH_TIMEOUT};
 use crate::gateway::state::PublishedState;
 use crate::gateway::store_version::StoreVersion;
 use crate::gateway::telemetry::Telemetry;
 use crate::ids::Era;
 
-/// Timeout of a watch by a VM without links.
-const STANDALONE_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two checks whether this VM has to read the store, before jitter.
 const POLICY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a watch after a failed one: it soon shows whether the store answers again.
 const TRIAL_WATCH_TIMEOUT: Duration = Duration::from_millis(100);
-/// Timeout of the watch that follows a list that may be stale: it returns what the list lacks, or nothing at once.
+/// Timeout of a watch that checks the state: it returns what the state lacks, or nothing at once.
 const CONFIRMING_WATCH_TIMEOUT: Duration = Duration::from_millis(10);
 /// Minimum and maximum backoff after a failed read, before jitter.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -35,8 +34,6 @@
 pub trait ReadPolicy: Send + Sync {
     /// Returns whether this VM has to read the store now.
     fn should_read(&self) -> bool;
-    /// Returns the timeout of one watch, at whose end a dead connection is detected.
-    fn watch_timeout(&self) -> Duration;
 }
 
 /// Read policy of a VM without links.
@@ -46,15 +43,14 @@
     fn should_read(&self) -> bool {
         true
     }
-
-    fn watch_timeout(&self) -> Duration {
-        STANDALONE_WATCH_TIMEOUT
-    }
 }
 
 /// What the next read of the store has to be.
 struct Reader {
     backoff: Duration,
+    /// Age of the last confirmation at which the state is checked beside an open watch.
+    check_age: Duration,
+    config_apply: Duration,
     /// Version after which the next watch starts; none if the full state has to be listed.
     last: Option<StoreVersion>,
     /// The last watch failed, so the next one is short.
@@ -69,8 +65,9 @@
     telemetry: Arc<Telemetry>,
 }
 
-/// Keeps the state up to date from the store until the process ends.
+/// Keeps the state up to date from the store until the process ends. A change has to be in force within `config_apply`.
 pub async fn run(
+    config_apply: Duration,
     state: Arc<PublishedState>,
     store: Arc<dyn PublishedStore>,
     policy: Arc<dyn ReadPolicy>,
@@ -78,6 +75,8 @@
 ) {
     let mut reader = Reader {
         backoff: MIN_BACKOFF,
+        check_age: readers::draw_check_age(config_apply),
+        config_apply,
         last: None,
         is_trial: false,
         is_unconfirmed: false,
@@ -136,11 +135,11 @@
     }
 
     /// Watches for changes; fails if other VMs know a later version and the watch does not return it in time.
-    async fn watch(&self, after: StoreVersion) -> Result<StoreList, StoreError> {
+    async fn watch(&mut self, after: StoreVersion) -> Result<StoreList, StoreError> {
         let timeout = match (self.is_unconfirmed, self.is_trial) {
             (true, _) => CONFIRMING_WATCH_TIMEOUT,
             (false, true) => TRIAL_WATCH_TIMEOUT,
-            (false, false) => self.policy.watch_timeout(),
+            (false, false) => WATCH_TIMEOUT,
         };
         let mut known_version = self.state.subscribe();
         let overtaken = async {
@@ -151,10 +150,47 @@
             }
             tokio::time::sleep(MAX_WATCH_LAG).await;
         };
+        let store = Arc::clone(&self.store);
         tokio::select! {
             biased;
-            list = self.store.watch(after.revision, timeout) => list,
+            list = store.watch(after.revision, timeout) => list,
             () = overtaken => Err(StoreError::WatchStalled),
+            checked = self.check(after) => checked,
+        }
+    }
+
+    /// Checks the state each time its last confirmation is too old. Returns what the open watch has not returned, or why
+    /// a check failed.
+    ///
+    /// An open watch shows nothing: its answer may have been lost, and the store may never answer it.
+    async fn check(&mut self, after: StoreVersion) -> Result<StoreList, StoreError> {
+        loop {
+            self.wait_for_old_confirmation().await;
+            self.check_age = readers::draw_check_age(self.config_apply);
+            self.telemetry.store_reads.inc();
+            let asked_at = Instant::now();
+            let list = self.store.watch(after.revision, CONFIRMING_WATCH_TIMEOUT).await?;
+            if list.as_of.era != after.era {
+                return Ok(list);
+            }
+            if !list.changes.is_empty() {
+                log::info!(after = after.revision, as_of = list.as_of.revision,
+                    changed = list.changes.len();
+                    "the open watch has not returned changes; opening it again");
+                return Ok(list);
+            }
+            self.state.record_confirmation(after.era, asked_at.elapsed());
+        }
+    }
+
+    /// Waits until the last confirmation, by any VM, is as old as this VM's drawn age.
+    async fn wait_for_old_confirmation(&self) {
+        loop {
+            let age = self.state.confirmation_age_in_era().unwrap_or_default();
+            if age >= self.check_age {
+                return;
+            }
+            tokio::time::sleep(self.check_age - age).await;
         }
     }
 
--- a/crates/hawthornstand/tests/gateway_links.rs
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -193,3 +193,43 @@
     let age = second.state.confirmation_age().expect("a confirmation");
     assert!(age < Duration::from_secs(1), "{age:?}");
 }
+
+/// Pattern: a calm day of a small fleet. One VM checks the state for all; a confirmation that waits for the next ping lets
+/// the others read the store as well.
+#[tokio::test(start_paused = true)]
+async fn confirmation_reaches_vms_without_a_link_to_the_one_that_reads_the_store() {
+    let vms = [vm(1), vm(2), vm(3), vm(4)];
+    for pair in vms.windows(2) {
+        link(&pair[0], &pair[1]).await;
+    }
+    for vm in &vms {
+        vm.state.apply_update(&full_list(7), "store");
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for _ in 0..20 {
+        vms[0].state.record_confirmation(0, Duration::ZERO);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let age = vms[3].state.confirmation_age().expect("a confirmation");
+        assert!(age < Duration::from_millis(100), "{age:?}");
+        tokio::time::sleep(settings().config_apply.mul_f64(0.25)).await;
+    }
+}
+
+/// Guards against confirmations that go round in circles, each a little newer by the latency of the links.
+#[tokio::test(start_paused = true)]
+async fn confirmation_is_announced_once_on_each_link() {
+    let vms = [vm(1), vm(2), vm(3)];
+    for (first, second) in [(0, 1), (1, 2), (2, 0)] {
+        link(&vms[first], &vms[second]).await;
+    }
+    for vm in &vms {
+        vm.state.apply_update(&full_list(7), "store");
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    vms[0].state.record_confirmation(0, Duration::ZERO);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for vm in &vms {
+        let age = vm.state.confirmation_age().expect("a confirmation");
+        assert!(age >= Duration::from_millis(1500), "{age:?}");
+    }
+}
--- a/crates/hawthornstand/tests/gateway_listing.rs
+++ b/crates/hawthornstand/tests/gateway_listing.rs
@@ -62,7 +62,7 @@
     let all = fleet(size);
     let reads_store = |own: &std::net::SocketAddr| {
         let known: Vec<_> = all.iter().filter(|other| *other != own).copied().collect();
-        should_read(*own, &known, confirmation_age, false)
+        should_read(*own, &known, confirmation_age, MAX_CONFIRMATION_AGE, false)
     };
     all.iter().filter(|own| reads_store(own)).count()
 }
@@ -91,7 +91,8 @@
     #[case] expected: bool,
 ) {
     let all = fleet(4);
-    assert_eq!(should_read(all[0], &all[1..], confirmation_age, true), expected);
+    let reads = should_read(all[0], &all[1..], confirmation_age, MAX_CONFIRMATION_AGE, true);
+    assert_eq!(reads, expected);
 }
 
 #[test]
--- a/crates/hawthornstand/tests/gateway_store_watch.rs
+++ b/crates/hawthornstand/tests/gateway_store_watch.rs
@@ -4,7 +4,7 @@
 mod gateway_support;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +17,7 @@
 };
 use hawthornstand::gateway::state::PublishedState;
 use hawthornstand::gateway::store_version::StoreVersion;
-use hawthornstand::gateway::store_watch::{self, ReadPolicy};
+use hawthornstand::gateway::store_watch::{self, AlwaysRead, ReadPolicy};
 use hawthornstand::gateway::telemetry::Telemetry;
 use hawthornstand::ids::Revision;
 use hawthornstand::process::log_limit::LogLosses;
@@ -94,10 +94,87 @@
     fn should_read(&self) -> bool {
         false
     }
+}
+
+/// A store that has a state and a change, and answers open watches never; short ones show the state.
+#[derive(Default)]
+struct DeafStore {
+    has_changed: AtomicBool,
+    reads: AtomicUsize,
+}
+
+impl PublishedStore for DeafStore {
+    fn list(&self, _consistency: ListConsistency) -> BoxFuture<'_, Result<StoreList, StoreError>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async { Ok(list(3, vec![routes()])) })
+    }
+
+    fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<StoreList, StoreError>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            if wait > Duration::from_millis(100) {
+                return std::future::pending().await;
+            }
+            tokio::time::sleep(wait).await;
+            if after >= 4 || !self.has_changed.load(Ordering::Relaxed) {
+                return Ok(list(after, Vec::new()));
+            }
+            Ok(list(4, vec![Change { revision: 4, ..routes() }]))
+        })
+    }
+
+    fn read_key(&self, _key: &str) -> PublishedKey {
+        PublishedKey::Unknown
+    }
+
+    fn read_value(&self, _key: &str, _value: &[u8]) -> Result<PublishedValue, String> {
+        Err("unused".to_string())
+    }
+}
+
+/// Starts a VM without others; returns its state.
+fn start_alone(store: &Arc<DeafStore>) -> Arc<PublishedState> {
+    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
+    let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
+    let state =
+        Arc::new(PublishedState::new(&settings(), Arc::clone(&published), Arc::clone(&telemetry)));
+    let policy = Arc::new(AlwaysRead);
+    let config_apply = settings().config_apply;
+    tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
+    state
+}
 
-    fn watch_timeout(&self) -> Duration {
-        Duration::from_secs(2)
+/// Pattern: the store is silent for a moment and never answers the watches that were open.
+#[tokio::test(start_paused = true)]
+async fn change_that_an_open_watch_does_not_return_is_known_within_the_time_for_changes() {
+    for offset_ms in (0..3000).step_by(300) {
+        let store = Arc::new(DeafStore::default());
+        let state = start_alone(&store);
+        tokio::time::sleep(Duration::from_millis(2000 + offset_ms)).await;
+        assert_eq!(state.as_of().revision, 3);
+        store.has_changed.store(true, Ordering::Relaxed);
+        // Connecting and reading are not part of this model.
+        tokio::time::sleep(settings().config_apply.mul_f64(0.6)).await;
+        assert_eq!(state.as_of().revision, 4, "changed at {offset_ms} ms");
+    }
+}
+
+/// Pattern: a calm day of a small fleet, in which each read costs.
+#[tokio::test(start_paused = true)]
+async fn state_that_other_vms_have_confirmed_is_not_checked() {
+    let store = Arc::new(DeafStore::default());
+    let state = start_alone(&store);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let reads = store.reads.load(Ordering::Relaxed);
+    for _ in 0..100 {
+        state.record_confirmation(0, Duration::ZERO);
+        tokio::time::sleep(settings().config_apply.mul_f64(0.2)).await;
     }
+    assert_eq!(store.reads.load(Ordering::Relaxed), reads);
 }
 
 /// Starts a VM; returns its state.
@@ -106,7 +183,9 @@
     let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
     let state =
         Arc::new(PublishedState::new(&settings(), Arc::clone(&published), Arc::clone(&telemetry)));
-    tokio::spawn(store_watch::run(Arc::clone(&state), published, Arc::new(OthersRead), telemetry));
+    let policy = Arc::new(OthersRead);
+    let config_apply = settings().config_apply;
+    tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
     state
 }
 
--- a/crates/hawthornstand/tests/support/gateway.rs
+++ b/crates/hawthornstand/tests/support/gateway.rs
@@ -19,6 +19,7 @@
     GatewaySettings {
         assumed_fleet_size: 12,
         caller_address: any,
+        config_apply: Duration::from_secs(3),
         cpu_millicores: 1000,
         drain: Duration::from_secs(4),
         extra_attempts: ExtraAttemptBounds {
