One decision on which configuration may follow which

After a restore of the store, callers got 404 on routes that had been acknowledged and served: the operator wrote the lost configurations again one by one, and the first of them, older than the active one, was activated. Only a configuration that came with the first list of an era was compared with the active one; those that a watch or a link brought were not, a held one was activated after 30 s at each VM at another moment, and a VM that started meanwhile served the store's.

The class: an order decided at one of several ways in. config_order.rs decides now for all of them, by the numbers that rise with each configuration: an older one never follows a newer one. A configuration that the store lacks is handed over links to VMs that have an older one.

--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -46,7 +46,6 @@
     while ticks.next().await.is_some() {
         let drain = settings.borrow().drain;
         state.expire_entries(drain);
-        state.activate_held_config();
         update_reach(&state);
         probe_unresponsive(&state, &context);
         probe_for_contact(&state, &context);
--- a/crates/hawthornstand/src/gateway/peer_link.rs
+++ b/crates/hawthornstand/src/gateway/peer_link.rs
@@ -256,6 +256,7 @@
         self.send(&PeerMessage::Hello {
             address: self.peers.own_address,
             as_of: self.announced_version.revision,
+            config_version: self.peers.state.config_version(),
             era: self.announced_version.era,
             failure_domain: self.peers.location.failure_domain.clone(),
             known: self.announced_addresses.clone(),
@@ -324,8 +325,7 @@
         }
         match self.peers.pulls.next_step(self.id, own_version, self.peers.pull_delay(), now) {
             PullStep::Pull => {
-                let StoreVersion { era, revision: after } = own_version;
-                self.send(&PeerMessage::Pull { after, era }).await?;
+                self.pull(own_version).await?;
                 Ok(None)
             }
             PullStep::Idle => Ok(None),
@@ -333,6 +333,28 @@
         }
     }
 
+    /// Requests what this VM lacks.
+    async fn pull(&mut self, own_version: StoreVersion) -> Result<(), String> {
+        let StoreVersion { era, revision: after } = own_version;
+        let config_version = self.peers.state.config_version();
+        self.send(&PeerMessage::Pull { after, config_version, era }).await
+    }
+
+    /// Requests the configuration in force at the other VM if it is newer than the store's.
+    async fn pull_retained_config(
+        &mut self,
+        offered: StoreVersion,
+        config_version: u64,
+    ) -> Result<(), String> {
+        let state = &self.peers.state;
+        let own_version = state.as_of();
+        // A VM that lacks changes of the store pulls them anyway.
+        if offered > own_version || config_version <= state.config_version() {
+            return Ok(());
+        }
+        self.pull(own_version).await
+    }
+
     /// Records the other VM's confirmation once it holds for this VM's state, which must be no older than the other's.
     fn apply_confirmation(&mut self, own_version: StoreVersion) {
         let Some((version, confirmed_at)) = self.pending_confirmation else { return };
@@ -384,7 +406,15 @@
             PeerMessage::Crashed { crashes } => {
                 peers.crash_tracker.record(&crashes, Instant::now());
             }
-            PeerMessage::Hello { address, as_of, era, failure_domain, mut known, profiles } => {
+            PeerMessage::Hello {
+                address,
+                as_of,
+                config_version,
+                era,
+                failure_domain,
+                mut known,
+                profiles,
+            } => {
                 peers.add_profiles(profiles);
                 self.proximity = peers.location.proximity(&failure_domain);
                 known.push(address);
@@ -392,17 +422,22 @@
                 self.mark_announced(&known);
                 let offered = StoreVersion { era, revision: as_of };
                 peers.pulls.record_offer(self.id, self.proximity, offered);
+                self.pull_retained_config(offered, config_version).await?;
             }
             PeerMessage::Known { known, profiles } => {
                 peers.add_profiles(profiles);
                 self.mark_announced(&known);
                 peers.add_reported(&known);
             }
-            PeerMessage::News { update } => {
+            PeerMessage::News { retained_config, update } => {
                 peers.pulls.record_answer(self.id, Instant::now());
+                // It goes before the store's older one, which would be in force for a moment.
+                if let Some(config) = &retained_config {
+                    peers.state.apply_retained_config(config, "peer");
+                }
                 peers.state.apply_update(&update, "peer");
             }
-            PeerMessage::Ping { age_ms, as_of, era } => {
+            PeerMessage::Ping { age_ms, as_of, config_version, era } => {
                 let offered = StoreVersion { era, revision: as_of };
                 peers.pulls.record_offer(self.id, self.proximity, offered);
                 let age = age_ms.map(Duration::from_millis);
@@ -410,10 +445,13 @@
                 self.known_confirmation = self.known_confirmation.max(confirmed_at);
                 self.pending_confirmation = confirmed_at.map(|at| (offered, at));
                 self.apply_confirmation(peers.state.as_of());
+                self.pull_retained_config(offered, config_version).await?;
             }
-            PeerMessage::Pull { after, era } => {
+            PeerMessage::Pull { after, config_version, era } => {
                 let update = peers.state.changes_since(StoreVersion { era, revision: after });
-                self.send(&PeerMessage::News { update }).await?;
+                let is_behind = config_version < peers.state.config_version();
+                let retained_config = if is_behind { peers.state.retained_config() } else { None };
+                self.send(&PeerMessage::News { retained_config, update }).await?;
             }
         }
         Ok(())
--- a/crates/hawthornstand/src/gateway/peers.rs
+++ b/crates/hawthornstand/src/gateway/peers.rs
@@ -161,7 +161,12 @@
     pub fn ping(&self) -> PeerMessage {
         let StoreVersion { era, revision: as_of } = self.state.as_of();
         let age = self.state.confirmation_age_in_era();
-        PeerMessage::Ping { age_ms: age.map(|age| age.as_millis() as u64), as_of, era }
+        PeerMessage::Ping {
+            age_ms: age.map(|age| age.as_millis() as u64),
+            as_of,
+            config_version: self.state.config_version(),
+            era,
+        }
     }
 }
 
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -1,33 +1,24 @@
 //! Published routes and backend servers as this VM knows them.
 
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::gateway::config_in_force::{ActiveConfig, ConfigInForce, OfferedConfig};
+use crate::gateway::config_order::Origin;
 use crate::gateway::directory::Directory;
 use crate::gateway::items::{AppliedChange, Change, Update, VersionedItems};
 use crate::gateway::listing::REREGISTRATION_TIMEOUT;
-use crate::gateway::model::{CallerLimits, Route, Routing, Target};
 use crate::gateway::protocol::{PublishedKey, PublishedStore, PublishedValue};
 use crate::gateway::readers;
-use crate::gateway::restored_config::{self, HeldConfig};
-use crate::gateway::routes::{Destination, ResolvedRoute, RouteTable};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::store_version::StoreVersion;
 use crate::gateway::telemetry::Telemetry;
-use crate::gateway::weighted_round_robin::WeightedRoundRobin;
-use crate::ids::{Era, Revision};
+use crate::ids::Era;
 use crate::locks::lock;
 
-/// The configuration that requests are served with.
-pub struct ActiveConfig {
-    pub limits: CallerLimits,
-    pub table: RouteTable,
-    pub version: u64,
-}
-
 /// Time without a confirmation by any VM after which the store may have been unreachable for all of them.
 const MAX_CONFIRMATION_GAP: Duration = readers::MAX_CONFIRMATION_AGE;
 
@@ -74,7 +65,7 @@
 /// Published routes and backend servers, merged from reads of the store and updates from other VMs.
 pub struct PublishedState {
     pub directory: Directory,
-    active_config: RwLock<Option<Arc<ActiveConfig>>>,
+    config: ConfigInForce,
     /// The last confirmation that is announced to other VMs.
     announced_confirmation: watch::Sender<Option<Instant>>,
     /// By how much a confirmation must be newer to be announced as well.
@@ -82,12 +73,8 @@
     /// The last confirmation by the store that this state is current, to this VM or to another one.
     confirmation: Mutex<Option<Confirmation>>,
     contact: Mutex<StoreContact>,
-    /// Configuration of a restored store that is older than the active one.
-    held_config: Mutex<Option<HeldConfig>>,
     items: Mutex<VersionedItems>,
     known_version: watch::Sender<StoreVersion>,
-    /// Start of the rotation among the services of a route, drawn from 0 to 1 so that VMs do not rotate in step.
-    rotation_offset: f64,
     store: Arc<dyn PublishedStore>,
     telemetry: Arc<Telemetry>,
 }
@@ -101,7 +88,7 @@
     ) -> Self {
         Self {
             directory: Directory::new(settings.clone()),
-            active_config: RwLock::default(),
+            config: ConfigInForce::default(),
             announced_confirmation: watch::Sender::default(),
             announce_step: readers::announce_step(settings.config_apply),
             confirmation: Mutex::default(),
@@ -112,10 +99,8 @@
                 had_outage: false,
                 lost_at: None,
             }),
-            held_config: Mutex::default(),
             items: Mutex::default(),
             known_version: watch::Sender::default(),
-            rotation_offset: rand::random(),
             store,
             telemetry,
         }
@@ -123,7 +108,12 @@
 
     /// Returns the active configuration; none before the first one is read.
     pub fn active_config(&self) -> Option<Arc<ActiveConfig>> {
-        self.active_config.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.config.active()
+    }
+
+    /// Returns the version of the active configuration; 0 before the first one is read.
+    pub fn config_version(&self) -> u64 {
+        self.active_config().map_or(0, |active| active.version)
     }
 
     /// Returns the version of the store's state up to which this state is complete.
@@ -291,10 +281,9 @@
             return;
         }
         match self.store.read_value(key, value) {
-            Ok(PublishedValue::Routing(routing)) if is_restored => {
-                self.restore_config(routing, change.revision, from);
+            Ok(PublishedValue::Routing(routing)) => {
+                self.offer_config(OfferedConfig { change, from, origin: Origin::Store, routing });
             }
-            Ok(PublishedValue::Routing(routing)) => self.activate(routing, change.revision, from),
             Ok(PublishedValue::Server(server)) => {
                 let (id, leaving) = (server.id.clone(), server.leaving);
                 let is_changed = if is_restored {
@@ -326,72 +315,37 @@
         matches!(decoded, Ok(PublishedValue::Server(server)) if server.leaving)
     }
 
-    /// Activates the configuration of a copy from which the store was restored, unless a later one is active.
-    fn restore_config(&self, routing: Routing, revision: Revision, from: &str) {
-        let active_version = self.active_config().map(|active| active.version);
-        if !restored_config::keeps_active(active_version, routing.version) {
-            self.activate(routing, revision, from);
-            return;
+    /// Applies the configuration that is in force on another VM although the store has an older one.
+    pub fn apply_retained_config(&self, change: &Change, from: &str) {
+        let Some(value) = &change.value else { return };
+        match self.store.read_value(&change.key, value) {
+            Ok(PublishedValue::Routing(routing)) => {
+                let change = change.clone();
+                self.offer_config(OfferedConfig { change, from, origin: Origin::OtherVm, routing });
+            }
+            Ok(PublishedValue::Server(_)) => {
+                self.telemetry.malformed_values.inc();
+                log::warn!(key = change.key.as_str(), from = from; "ignoring a configuration that is none");
+            }
+            Err(reason) => {
+                self.telemetry.malformed_values.inc();
+                log::warn!(key = change.key.as_str(), from = from; "ignoring malformed published value: {reason}");
+            }
         }
-        log::warn!(version = routing.version, active = active_version, from = from;
-            "the restored store has an older configuration; the active one stays until it is written again");
-        let since = Instant::now();
-        *lock(&self.held_config) = Some(HeldConfig { revision, routing, since });
     }
 
-    /// Activates the older configuration of a restored store if a later one was not written again in time.
-    pub fn activate_held_config(&self) {
-        let due = lock(&self.held_config).take_if(|held| held.is_due(Instant::now()));
-        if let Some(held) = due {
-            self.activate(held.routing, held.revision, "restored store");
-        }
+    /// Returns the configuration in force if the store, as far as this VM knows, has an older one.
+    pub fn retained_config(&self) -> Option<Change> {
+        let published = &self.active_config()?.published;
+        let items = lock(&self.items);
+        let last = items.last_change(&published.key);
+        let is_in_store = last.is_some_and(|last| last.value == published.value);
+        (!is_in_store).then(|| published.clone())
     }
 
-    /// Activates a configuration.
-    fn activate(&self, routing: Routing, revision: Revision, from: &str) {
-        *lock(&self.held_config) = None;
-        self.directory.apply_services(&routing.services);
-        let routes = routing.routes.into_iter().map(|route| self.resolve(route)).collect();
-        let table = RouteTable::new(routes);
+    /// Activates a configuration unless a newer one is in force.
+    fn offer_config(&self, offered: OfferedConfig<'_>) {
         let confirmed_ms_ago = self.confirmation_age().map(|age| age.as_millis() as u64);
-        let replaced = self.active_config().map(|active| active.version);
-        log::info!(version = routing.version, replaced = replaced, routes = table.all().len(),
-            from = from, revision = revision, confirmed_ms_ago = confirmed_ms_ago;
-            "configuration activated");
-        let active_config =
-            ActiveConfig { limits: routing.limits, table, version: routing.version };
-        *self.active_config.write().unwrap_or_else(PoisonError::into_inner) =
-            Some(Arc::new(active_config));
-    }
-
-    /// Resolves the services that a route names.
-    fn resolve(&self, route: Route) -> ResolvedRoute {
-        let destination = match &route.target {
-            Target::Weighted(services) => {
-                let weighted = services
-                    .iter()
-                    .map(|weighted| (self.directory.service(&weighted.service), weighted.weight))
-                    .collect();
-                Destination::Weighted(WeightedRoundRobin::new(weighted, self.rotation_offset))
-            }
-            Target::Shards(set) => Destination::Shards(
-                set.services
-                    .iter()
-                    .map(|name| {
-                        let shard = self.directory.service(name);
-                        shard.mark_as_shard();
-                        shard
-                    })
-                    .collect(),
-            ),
-        };
-        let services = match &destination {
-            Destination::Weighted(round_robin) => round_robin.services(),
-            Destination::Shards(shards) => shards.clone(),
-        };
-        for service in services {
-            service.service_time.assume_from_target(route.target_latency);
-        }
-        ResolvedRoute { route, destination }
+        self.config.offer(offered, &self.directory, confirmed_ms_ago);
     }
 }
--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -14,6 +14,9 @@
 pub struct GatewayStatus {
     /// Version of the active configuration; none before the first one.
     pub config_version: Option<u64>,
+    /// Whether the store has an older configuration than the active one, which it lost when it was restored.
+    #[serde(default)]
+    pub is_config_retained: bool,
     /// Number of known VMs, including this one.
     pub fleet: usize,
     /// Whether this VM searches shards for others.
@@ -114,6 +117,7 @@
     let (role, as_of) = (state.directory.relay_role(), state.as_of());
     GatewayStatus {
         config_version: state.active_config().map(|config| config.version),
+        is_config_retained: state.retained_config().is_some(),
         fleet: state.directory.fleet_size(),
         is_relay: role.is_relay,
         relays: role.relays,
--- a/crates/hawthornstand/src/process/gateway_text.rs
+++ b/crates/hawthornstand/src/process/gateway_text.rs
@@ -13,7 +13,8 @@
 pub fn overview(status: &GatewayStatus) -> String {
     let mut text = String::new();
     let version = status.config_version.map_or("none".to_string(), |version| version.to_string());
-    let _ = writeln!(text, "active configuration version: {version}");
+    let retained = if status.is_config_retained { ", which the store lacks" } else { "" };
+    let _ = writeln!(text, "active configuration version: {version}{retained}");
     let confirmed = match status.confirmed_ms_ago {
         Some(age_ms) => format!("confirmed by the store {age_ms} ms ago"),
         None => "never confirmed by the store".to_string(),
--- a/crates/hawthornstand/tests/gateway_eras.rs
+++ b/crates/hawthornstand/tests/gateway_eras.rs
@@ -13,7 +13,6 @@
 use hawthornstand::gateway::listing::{self, Listing, RESTORED_ENTRY_TIMEOUT};
 use hawthornstand::gateway::model::PublishedServer;
 use hawthornstand::gateway::peer_messages::PeerMessage;
-use hawthornstand::gateway::restored_config;
 use hawthornstand::gateway::store_version::StoreVersion;
 use hawthornstand::ids::{Era, Revision};
 use proptest::prelude::*;
@@ -305,19 +304,6 @@
     assert!(servers[0].listing().allows_requests());
 }
 
-#[rstest]
-#[case::no_configuration(None, 4, false)]
-#[case::copy_is_older(Some(7), 4, true)]
-#[case::same_version(Some(7), 7, false)]
-#[case::written_again_before_the_list(Some(7), 9, false)]
-fn older_configuration_of_a_copy_does_not_take_back_what_callers_have_seen(
-    #[case] active: Option<u64>,
-    #[case] restored: u64,
-    #[case] stays: bool,
-) {
-    assert_eq!(restored_config::keeps_active(active, restored), stays);
-}
-
 /// A heartbeat is sent every 1.2 s; the store removes an entry after three of silence.
 #[test]
 fn restored_entry_is_believed_only_after_the_store_would_have_removed_it() {
@@ -356,15 +342,16 @@
         ciborium::from_reader(encode(message).as_slice()).expect("a message of an old build")
     };
     let update = OldUpdate { after: 0, as_of: 9, changes: vec![change("a", 9, Some("x"))] };
-    let PeerMessage::News { update } = decode(&OldMessage::News { update }) else {
+    let PeerMessage::News { retained_config: None, update } = decode(&OldMessage::News { update })
+    else {
         panic!("not the changes");
     };
     assert_eq!(update.version(), StoreVersion { era: 0, revision: 9 });
     let ping = decode(&OldMessage::Ping { age_ms: Some(3), as_of: 9 });
-    assert_eq!(ping, PeerMessage::Ping { age_ms: Some(3), as_of: 9, era: 0 });
+    assert_eq!(ping, PeerMessage::Ping { age_ms: Some(3), as_of: 9, config_version: 0, era: 0 });
     let pull = decode(&OldMessage::Pull { after: 9 });
-    assert_eq!(pull, PeerMessage::Pull { after: 9, era: 0 });
-    let new = encode(&PeerMessage::Ping { age_ms: None, as_of: 5, era: 1 });
+    assert_eq!(pull, PeerMessage::Pull { after: 9, config_version: 0, era: 0 });
+    let new = encode(&PeerMessage::Ping { age_ms: None, as_of: 5, config_version: 7, era: 1 });
     let old: OldMessage = ciborium::from_reader(new.as_slice()).expect("a ping");
     assert_eq!(old, OldMessage::Ping { age_ms: None, as_of: 5 });
 }
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -28,6 +28,7 @@
 fn status() -> GatewayStatus {
     GatewayStatus {
         config_version: Some(12),
+        is_config_retained: true,
         fleet: 9,
         is_relay: false,
         relays: 4,
