--- a/crates/hawthornstand/tests/gateway_config_order.rs
+++ b/crates/hawthornstand/tests/gateway_config_order.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use gateway_support::settings;
+use gateway_support::{link, linkable_vm, settings};
 use hawthornstand::gateway::config_order::{Decision, Origin, decide};
 use hawthornstand::gateway::items::{Change, Update};
 use hawthornstand::gateway::model::{CallerLimits, Routing};
@@ -183,6 +183,30 @@
     ]
 }
 
+/// Guards against a VM that serves the older configuration of a restored store beside VMs that have the lost one.
+#[tokio::test(start_paused = true)]
+async fn lost_configuration_is_handed_to_a_vm_that_has_the_same_state_of_the_store() {
+    let (running, started) =
+        (linkable_vm(1, Arc::new(ConfigOnly)), linkable_vm(2, Arc::new(ConfigOnly)));
+    let mut store = ModelStore::new();
+    store.write_new();
+    running.state.apply_update(&store.read(running.state.as_of()), "store");
+    store.restore(1);
+    for vm in [&running, &started] {
+        vm.state.apply_update(&store.read(vm.state.as_of()), "store");
+    }
+    let versions = || [running.state.config_version(), started.state.config_version()];
+    assert_eq!(versions(), [2, 1]);
+    let _tasks = link(&running, &started).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(versions(), [2, 2]);
+    store.write_new();
+    running.state.apply_update(&store.read(running.state.as_of()), "store");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(versions(), [5, 5]);
+    assert!(started.state.retained_config().is_none());
+}
+
 proptest! {
     /// Guards against a configuration that goes back, whether a list, a watch, a link or another VM brings the older one,
     /// and against VMs that do not agree once they have heard of each other.
--- a/crates/hawthornstand/tests/gateway_links.rs
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -9,24 +9,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gateway_support::settings;
-use hawthornstand::gateway::crash_tracker::CrashTracker;
+use gateway_support::{link, linkable_vm, settings};
 use hawthornstand::gateway::items::{Change, Update};
 use hawthornstand::gateway::peer_link;
 use hawthornstand::gateway::peers::Peers;
 use hawthornstand::gateway::protocol::{
     ListConsistency, PublishedKey, PublishedStore, PublishedValue, StoreError, StoreList,
 };
-use hawthornstand::gateway::settings::GatewaySettings;
-use hawthornstand::gateway::state::PublishedState;
-use hawthornstand::gateway::telemetry::Telemetry;
 use hawthornstand::ids::Revision;
-use hawthornstand::process::log_limit::LogLosses;
 use rstest::rstest;
-use tokio::task::JoinHandle;
 use tokio::time::Instant;
-use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::protocol::Role;
 
 /// A store that never answers.
 struct UnreachableStore;
@@ -58,28 +50,7 @@
 
 /// Creates a VM at the address 127.0.0.`number`.
 fn vm(number: u8) -> Arc<Peers> {
-    let address = ([127, 0, 0, number], 7102).into();
-    let settings = GatewaySettings {
-        peer_address: Some(address),
-        vm_id: format!("front-{number}"),
-        ..settings()
-    };
-    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
-    let link_bytes = telemetry.link_bytes.clone();
-    let state = Arc::new(PublishedState::new(&settings, Arc::new(UnreachableStore), telemetry));
-    Arc::new(Peers::new(address, &settings, Arc::new(CrashTracker::default()), state, link_bytes))
-}
-
-/// Links two VMs; each task returns why its end of the link closed.
-async fn link(first: &Arc<Peers>, second: &Arc<Peers>) -> [JoinHandle<String>; 2] {
-    let (one_end, other_end) = tokio::io::duplex(64 * 1024);
-    let client = WebSocketStream::from_raw_socket(one_end, Role::Client, None).await;
-    let server = WebSocketStream::from_raw_socket(other_end, Role::Server, None).await;
-    let (first, second) = (Arc::clone(first), Arc::clone(second));
-    [
-        tokio::spawn(async move { peer_link::run_link(&first, client).await }),
-        tokio::spawn(async move { peer_link::run_link(&second, server).await }),
-    ]
+    linkable_vm(number, Arc::new(UnreachableStore))
 }
 
 /// Returns a full list with one key that was changed at its revision.
--- a/crates/hawthornstand/tests/support/gateway.rs
+++ b/crates/hawthornstand/tests/support/gateway.rs
@@ -1,12 +1,23 @@
-//! Settings and a published backend server for tests of the gateway without a network.
+//! Settings, a published backend server and linked VMs for tests of the gateway without a network.
 
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornstand::gateway::crash_tracker::CrashTracker;
 use hawthornstand::gateway::model::PublishedServer;
+use hawthornstand::gateway::peer_link;
+use hawthornstand::gateway::peers::Peers;
+use hawthornstand::gateway::protocol::PublishedStore;
 use hawthornstand::gateway::settings::{ExtraAttemptBounds, GatewaySettings, Location};
+use hawthornstand::gateway::state::PublishedState;
+use hawthornstand::gateway::telemetry::Telemetry;
+use hawthornstand::process::log_limit::LogLosses;
+use tokio::task::JoinHandle;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::Role;
 
 /// Returns settings of a VM without links in failure domain a, region east.
 pub fn settings() -> GatewaySettings {
@@ -50,3 +61,29 @@
         warmup_left: Duration::ZERO,
     }
 }
+
+/// Creates a VM at the address 127.0.0.`number`.
+pub fn linkable_vm(number: u8, store: Arc<dyn PublishedStore>) -> Arc<Peers> {
+    let address = ([127, 0, 0, number], 7102).into();
+    let settings = GatewaySettings {
+        peer_address: Some(address),
+        vm_id: format!("front-{number}"),
+        ..settings()
+    };
+    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
+    let link_bytes = telemetry.link_bytes.clone();
+    let state = Arc::new(PublishedState::new(&settings, store, telemetry));
+    Arc::new(Peers::new(address, &settings, Arc::new(CrashTracker::default()), state, link_bytes))
+}
+
+/// Links two VMs over an in-memory pipe; each task returns why its end of the link closed.
+pub async fn link(first: &Arc<Peers>, second: &Arc<Peers>) -> [JoinHandle<String>; 2] {
+    let (one_end, other_end) = tokio::io::duplex(64 * 1024);
+    let client = WebSocketStream::from_raw_socket(one_end, Role::Client, None).await;
+    let server = WebSocketStream::from_raw_socket(other_end, Role::Server, None).await;
+    let (first, second) = (Arc::clone(first), Arc::clone(second));
+    [
+        tokio::spawn(async move { peer_link::run_link(&first, client).await }),
+        tokio::spawn(async move { peer_link::run_link(&second, server).await }),
+    ]
+}
