A VM that stops refuses what it cannot finish, and answers what it has passed on

Callers whose requests came late in the grace period got no answer, bookings among them: the listener serves for up to 3.2 s after SIGTERM, the process ends at five sixths of the grace period, and the time limit of a request knew nothing of that end.

What runs or is being read at that point is answered: 503 if no backend server may have it, else 504; a request that another VM may run counts as one that may have run.

--- a/crates/hawthornstand/src/error.rs
+++ b/crates/hawthornstand/src/error.rs
@@ -36,6 +36,8 @@
     Quarantined,
     /// too many shards gave no answer
     ShardsLost,
+    /// this VM stops before the request could be answered
+    Stopping,
     /// the request was running when a backend server was lost and is being checked
     Suspect,
     /// the ticket has expired
@@ -83,6 +85,7 @@
     response(ErrorKind::Overloaded, 503, Outcome::NotRun, 250),
     response(ErrorKind::Quarantined, 422, Outcome::NotRun, 60_000),
     response(ErrorKind::ShardsLost, 502, Outcome::MaybeRun, 100),
+    response(ErrorKind::Stopping, 503, Outcome::NotRun, 10),
     response(ErrorKind::Suspect, 503, Outcome::NotRun, 1000),
     response(ErrorKind::TicketExpired, 410, Outcome::MaybeRun, 0),
     response(ErrorKind::TicketForged, 400, Outcome::NotRun, 0),
--- a/crates/hawthornstand/src/gateway/attempt_outcomes.rs
+++ b/crates/hawthornstand/src/gateway/attempt_outcomes.rs
@@ -46,6 +46,19 @@
         self.maybe_run.fetch_sub(1, Ordering::AcqRel);
     }
 
+    /// Records that the request is about to be offered to another VM, which may run it.
+    pub fn begin_offer(&self) {
+        // Once the outcomes are sealed, they are not asked any more.
+        self.begin_send();
+    }
+
+    /// Records that the VM to which the request was offered has not run it.
+    pub fn record_offer_not_run(&self) {
+        let decrement = |count| (count != SEALED && count > 0).then(|| count - 1);
+        // Sealed outcomes stay as they are.
+        let _ = self.maybe_run.fetch_update(Ordering::AcqRel, Ordering::Acquire, decrement);
+    }
+
     /// Prevents all further attempts if no attempt may have run; returns whether it did, so that the request has not
     /// run and never will.
     pub fn seal_if_not_run(&self) -> bool {
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -33,8 +33,11 @@
 /// Time for which a VM that shuts down still accepts callers: the load balancer checks readiness once a second and
 /// stops sending callers after the second failed check.
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(3200);
-/// Fraction of the grace period that is left unused, so that the process exits before SIGKILL.
-const GRACE_MARGIN_FRACTION: f64 = 1.0 / 6.0;
+/// Fraction of the grace period after which every caller has been answered.
+const ANSWER_FRACTION: f64 = 5.0 / 6.0;
+/// Fraction of the grace period within which the last answers are sent; the rest is left unused, so that the process
+/// exits before SIGKILL.
+const SEND_FRACTION: f64 = 1.0 / 12.0;
 /// Time between two checks for running requests during the shutdown.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -131,9 +134,10 @@
     tokio::spawn(reloader.run(reload_signal, TimerService));
     terminate.recv().await;
     let grace = active_settings.borrow().grace;
-    let end = Instant::now() + grace.mul_f64(1.0 - GRACE_MARGIN_FRACTION);
+    let answer_by = Instant::now() + grace.mul_f64(ANSWER_FRACTION);
+    let end = answer_by + grace.mul_f64(SEND_FRACTION);
     log::info!(running = load.running(); "shutdown started; readiness fails, requests are still served");
-    load.begin_stop();
+    load.begin_stop(answer_by);
     tokio::time::sleep(BALANCER_DETECTION_TIME.min(grace / 2)).await;
     stop.send_replace(true);
     let closed = tokio::time::timeout_at(end, serving).await.is_ok();
--- a/crates/hawthornstand/src/gateway/reach/handover.rs
+++ b/crates/hawthornstand/src/gateway/reach/handover.rs
@@ -147,10 +147,19 @@
 /// Offers a request to other VMs, apart from the attempts of this VM.
 async fn hand_over(offer: Offer<'_>, links: &Arc<RelayLinks>, attempts: u32) -> OfferResult {
     let request = offer.without_outcomes();
+    let outcomes = &offer.request.attempt_outcomes;
+    outcomes.begin_offer();
     let result = links.hand_over(&Offer { request: &request, ..offer }, attempts).await;
-    if let OfferResult::Answered(_) = result {
+    match &result {
         // A backend server that answered was not crashed by the request.
-        offer.request.attempt_outcomes.record_answered();
+        OfferResult::Answered(_) => outcomes.record_answered(),
+        OfferResult::NotAnswered { attempts: after } if *after == attempts => {
+            outcomes.record_offer_not_run();
+        }
+        OfferResult::Failed(failure) if failure.outcome == Outcome::NotRun => {
+            outcomes.record_offer_not_run();
+        }
+        OfferResult::Failed(_) | OfferResult::NotAnswered { .. } => {}
     }
     result
 }
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -37,6 +37,8 @@
 
 /// Time after which a search whose relays were lost may be sent again: others are used at once.
 const RELAY_LOST_RETRY_AFTER: Duration = Duration::from_millis(10);
+/// Multiple of the mean service time within which most requests are answered.
+const SAFE_SERVICE_TIMES: f64 = 2.0;
 /// Time after which a caller may come back to a VM that has just started and has not failed to reach the store: it is
 /// ready within about this time. Without the store, the longer time in the table of errors applies.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -123,11 +125,19 @@
         };
         let route = &resolved.route;
         let limit = caller.time_left.map_or(route.time_limit, |left| left.min(route.time_limit));
-        let time_budget = TimeBudget::start(Arc::clone(&self.clock), limit);
+        let time_budget = TimeBudget::start(Arc::clone(&self.clock), self.limit_by_stop(limit));
         let max_body_bytes = active_config.limits.max_body_bytes;
-        let body = read_body(body, max_body_bytes, &time_budget)
-            .await
-            .map_err(|kind| refuse(kind, "body not read"))?;
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, max_body_bytes, &time_budget) => {
+                body.map_err(|kind| refuse(kind, "body not read"))?
+            }
+            () = self.load.must_answer() => {
+                return Err(refuse(ErrorKind::Stopping, "the body was not complete"));
+            }
+        };
+        self.check_time_before_stop(resolved)
+            .map_err(|failure| FailedRequest::new(&caller.request_id, failure))?;
         let mut headers = parts.headers;
         connection_headers::remove(&mut headers);
         let path = parts.uri.path_and_query().cloned();
@@ -150,11 +160,38 @@
             return Err(FailedRequest::new(&caller.request_id, failure));
         }
         let guard = RequestGuard::new(&outbound, fingerprint, &time_budget, &self.context);
-        let result = self.dispatch(resolved, &outbound, fingerprint, &time_budget).await;
+        let result = tokio::select! {
+            biased;
+            result = self.dispatch(resolved, &outbound, fingerprint, &time_budget) => result,
+            () = self.load.must_answer() => Err(stopped(&outbound)),
+        };
         guard.mark_answered();
         result.map_err(|failure| FailedRequest::new(&caller.request_id, failure))
     }
 
+    /// Returns a time limit that ends before the callers of a VM that stops have to be answered.
+    fn limit_by_stop(&self, limit: Duration) -> Duration {
+        let Some(answer_by) = self.load.answer_by() else { return limit };
+        limit.min(answer_by.saturating_duration_since(Instant::now()))
+    }
+
+    /// Checks that a VM that stops has the time that a request is expected to take.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that sends the caller to another VM.
+    fn check_time_before_stop(&self, resolved: &ResolvedRoute) -> Result<(), Failure> {
+        let Some(answer_by) = self.load.answer_by() else { return Ok(()) };
+        let left = answer_by.saturating_duration_since(Instant::now());
+        let needed = resolved.expected_service_time().mul_f64(SAFE_SERVICE_TIMES);
+        if needed <= left {
+            return Ok(());
+        }
+        let (left, needed) = (left.as_millis(), needed.as_millis());
+        let message = format!("{left} ms are left and {needed} ms may be needed");
+        Err(Failure::new(ErrorKind::Stopping, message))
+    }
+
     /// Logs how old the state is by which a request has no route.
     fn log_no_route(&self, request_id: &Bytes, version: u64) {
         let as_of = self.state.as_of();
@@ -245,8 +282,16 @@
         shard_set: &ShardSet,
         shards: &[Arc<Service>],
     ) -> Result<RequestAnswer, Failure> {
+        let outcomes = &offer.request.attempt_outcomes;
         let result = match &self.relays {
-            Some(relays) if !offer.needs.are_lost() => relays.search(&offer).await,
+            Some(relays) if !offer.needs.are_lost() => {
+                outcomes.begin_offer();
+                let result = relays.search(&offer).await;
+                if let OfferResult::NotAnswered { attempts: 0 } = result {
+                    outcomes.record_offer_not_run();
+                }
+                result
+            }
             _ => OfferResult::NotAnswered { attempts: 0 },
         };
         let attempts = match result {
@@ -342,6 +387,14 @@
     ids::fingerprint(&format!("{host}\0{}\0{}", request.method, request.uri), &request.body)
 }
 
+/// Returns the failure of a request that was running when the VM had to answer its callers.
+fn stopped(request: &OutboundRequest) -> Failure {
+    if request.attempt_outcomes.seal_if_not_run() {
+        return Failure::new(ErrorKind::Stopping, "no backend server was reached in time");
+    }
+    Failure::new(ErrorKind::DeadlineExceeded, "this VM stops")
+}
+
 /// Reads the whole body of a request within its time budget.
 async fn read_body(
     body: Incoming,
--- a/crates/hawthornstand/src/gateway/request_load.rs
+++ b/crates/hawthornstand/src/gateway/request_load.rs
@@ -1,13 +1,17 @@
-//! Number of running requests, and whether the VM is stopping.
+//! Number of running requests, and until when a VM that stops answers them.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The running requests of this VM, of callers and of other VMs.
 #[derive(Default)]
 pub struct RequestLoad {
+    /// Instant by which a VM that stops answers its callers; none while it does not stop.
+    answer_by: watch::Sender<Option<Instant>>,
     running: AtomicU64,
-    stopping: AtomicBool,
 }
 
 /// Counts a request as running until it is dropped.
@@ -31,13 +35,27 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Marks the VM as stopping.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Marks the VM as stopping; its callers are answered by an instant.
+    pub fn begin_stop(&self, answer_by: Instant) {
+        self.answer_by.send_replace(Some(answer_by));
     }
 
     /// Returns whether the VM is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.answer_by().is_some()
+    }
+
+    /// Returns the instant by which a VM that stops answers its callers; none while it does not stop.
+    pub fn answer_by(&self) -> Option<Instant> {
+        *self.answer_by.borrow()
+    }
+
+    /// Waits until every caller has to be answered, because the VM stops.
+    pub async fn must_answer(&self) {
+        let mut answer_by = self.answer_by.subscribe();
+        let stopping = answer_by.wait_for(Option::is_some).await.map(|answer_by| *answer_by);
+        // The sender lives as long as this value.
+        let Ok(Some(until)) = stopping else { return };
+        tokio::time::sleep_until(until).await;
     }
 }
--- a/crates/hawthornstand/src/gateway/routes.rs
+++ b/crates/hawthornstand/src/gateway/routes.rs
@@ -1,6 +1,7 @@
 //! Finds the route of a request by host and longest path prefix.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::gateway::directory::Service;
 use crate::gateway::model::Route;
@@ -55,6 +56,17 @@
     }
 }
 
+impl ResolvedRoute {
+    /// Returns the service time of the slowest service to which a request may go.
+    pub fn expected_service_time(&self) -> Duration {
+        let services = match &self.destination {
+            Destination::Weighted(round_robin) => round_robin.services(),
+            Destination::Shards(shards) => shards.clone(),
+        };
+        services.iter().map(|service| service.service_time.get()).max().unwrap_or_default()
+    }
+}
+
 /// Returns the sort key of a route.
 fn key(resolved: &Arc<ResolvedRoute>) -> (&str, &str) {
     (&resolved.route.host, &resolved.route.path_prefix)
