Confirmations grow old while the machine is suspended

The age is now the longer one of that clock's and the boot clock's.

confirmation_grows_old_while_the_machine_is_suspended holds it; on the code before, the age of a confirmation had no other clock to go by.

--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -60,8 +60,12 @@
     let caller_listener = TcpListener::bind(settings.caller_address).await?;
     let readiness_listener = TcpListener::bind(settings.readiness_address).await?;
     let telemetry = Arc::new(Telemetry::new(log_losses));
-    let state =
-        Arc::new(PublishedState::new(&settings, Arc::clone(&store), Arc::clone(&telemetry)));
+    let state = Arc::new(PublishedState::new(
+        &settings,
+        Arc::new(SystemClock),
+        Arc::clone(&store),
+        Arc::clone(&telemetry),
+    ));
     let crash_tracker = Arc::new(CrashTracker::default());
     let context = GatewayContext {
         answer_memory: Arc::default(),
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use crate::gateway::telemetry::Telemetry;
 use crate::ids::Era;
 use crate::locks::lock;
+use crate::process::clock::Clock;
 
 /// Time without a confirmation by any VM after which the store may have been unreachable for all of them.
 const MAX_CONFIRMATION_GAP: Duration = readers::MAX_CONFIRMATION_AGE;
@@ -60,11 +61,14 @@
 struct Confirmation {
     at: Instant,
     era: Era,
+    /// The same by a clock that also counts the time during which the machine is suspended.
+    since_boot: Duration,
 }
 
 /// Published routes and backend servers, merged from reads of the store and updates from other VMs.
 pub struct PublishedState {
     pub directory: Directory,
+    clock: Arc<dyn Clock>,
     config: ConfigInForce,
     /// The last confirmation that is announced to other VMs.
     announced_confirmation: watch::Sender<Option<Instant>>,
@@ -83,11 +87,13 @@
     /// Creates an empty state.
     pub fn new(
         settings: &GatewaySettings,
+        clock: Arc<dyn Clock>,
         store: Arc<dyn PublishedStore>,
         telemetry: Arc<Telemetry>,
     ) -> Self {
         Self {
             directory: Directory::new(settings.clone()),
+            clock,
             config: ConfigInForce::default(),
             announced_confirmation: watch::Sender::default(),
             announce_step: readers::announce_step(settings.config_apply),
@@ -146,12 +152,13 @@
         if era != self.as_of().era {
             return;
         }
+        let since_boot = self.clock.since_boot().saturating_sub(age);
         let gap = {
             let mut confirmation = lock(&self.confirmation);
             let last = confirmation.map(|last| last.at);
             let is_newer = confirmation.is_none_or(|last| last.era < era || last.at < at);
             if is_newer {
-                *confirmation = Some(Confirmation { at, era });
+                *confirmation = Some(Confirmation { at, era, since_boot });
             }
             last.map(|last| at.saturating_duration_since(last))
         };
@@ -178,13 +185,19 @@
     /// Returns the time since the store last confirmed the state of this VM, also one of an earlier era; none if it never
     /// did.
     pub fn confirmation_age(&self) -> Option<Duration> {
-        lock(&self.confirmation).map(|last| last.at.elapsed())
+        lock(&self.confirmation).map(|last| self.age_of(last))
     }
 
     /// Returns the time since the store last confirmed a state of the current era; none if it did not yet.
     pub fn confirmation_age_in_era(&self) -> Option<Duration> {
         let era = self.as_of().era;
-        lock(&self.confirmation).filter(|last| last.era == era).map(|last| last.at.elapsed())
+        lock(&self.confirmation).filter(|last| last.era == era).map(|last| self.age_of(last))
+    }
+
+    /// Returns the time since a confirmation, also that during which the machine was suspended.
+    fn age_of(&self, confirmation: Confirmation) -> Duration {
+        let by_boot_clock = self.clock.since_boot().saturating_sub(confirmation.since_boot);
+        confirmation.at.elapsed().max(by_boot_clock)
     }
 
     /// Sets whether the store is unreachable for this VM; returns whether that changed.
--- a/crates/hawthornstand/tests/gateway_config_order.rs
+++ b/crates/hawthornstand/tests/gateway_config_order.rs
@@ -19,6 +19,7 @@
 use hawthornstand::gateway::store_version::StoreVersion;
 use hawthornstand::gateway::telemetry::Telemetry;
 use hawthornstand::ids::{Era, Revision};
+use hawthornstand::process::clock::SystemClock;
 use hawthornstand::process::log_limit::LogLosses;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -148,7 +149,7 @@
 
 fn start_vm() -> PublishedState {
     let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
-    PublishedState::new(&settings(), Arc::new(ConfigOnly), telemetry)
+    PublishedState::new(&settings(), Arc::new(SystemClock), Arc::new(ConfigOnly), telemetry)
 }
 
 /// Hands over what one VM lacks, as links do.
--- a/crates/hawthornstand/tests/gateway_links.rs
+++ b/crates/hawthornstand/tests/gateway_links.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gateway_support::{link, linkable_vm, settings};
+use gateway_support::{SuspendableClock, link, linkable_vm, linkable_vm_with, settings};
 use hawthornstand::gateway::items::{Change, Update};
 use hawthornstand::gateway::peer_link;
 use hawthornstand::gateway::peers::Peers;
@@ -204,3 +204,22 @@
         assert!(age >= Duration::from_millis(1500), "{age:?}");
     }
 }
+
+/// Guards against a VM that was suspended and tells others that its state was confirmed a moment ago.
+#[tokio::test(start_paused = true)]
+async fn confirmation_grows_old_while_the_machine_is_suspended() {
+    let clock = Arc::new(SuspendableClock::default());
+    let suspended = linkable_vm_with(1, Arc::clone(&clock) as _, Arc::new(UnreachableStore));
+    let other = vm(2);
+    for vm in [&suspended, &other] {
+        vm.state.apply_update(&full_list(7), "store");
+    }
+    clock.suspend(Duration::from_secs(60));
+    suspended.state.record_confirmation(0, Duration::ZERO);
+    clock.suspend(Duration::from_secs(20));
+    assert_eq!(suspended.state.confirmation_age(), Some(Duration::from_secs(20)));
+    let _tasks = link(&suspended, &other).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let age = other.state.confirmation_age();
+    assert!(age.is_none_or(|age| age >= Duration::from_secs(20)), "{age:?}");
+}
--- a/crates/hawthornstand/tests/gateway_store_watch.rs
+++ b/crates/hawthornstand/tests/gateway_store_watch.rs
@@ -20,6 +20,7 @@
 use hawthornstand::gateway::store_watch::{self, AlwaysRead, ReadPolicy};
 use hawthornstand::gateway::telemetry::Telemetry;
 use hawthornstand::ids::Revision;
+use hawthornstand::process::clock::SystemClock;
 use hawthornstand::process::log_limit::LogLosses;
 
 /// A store that refuses every read of this VM, or serves a stale list and then nothing new.
@@ -140,8 +141,12 @@
 fn start_alone(store: &Arc<DeafStore>) -> Arc<PublishedState> {
     let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
     let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
-    let state =
-        Arc::new(PublishedState::new(&settings(), Arc::clone(&published), Arc::clone(&telemetry)));
+    let state = Arc::new(PublishedState::new(
+        &settings(),
+        Arc::new(SystemClock),
+        Arc::clone(&published),
+        Arc::clone(&telemetry),
+    ));
     let policy = Arc::new(AlwaysRead);
     let config_apply = settings().config_apply;
     tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
@@ -181,8 +186,12 @@
 fn start(store: &Arc<CountingStore>) -> Arc<PublishedState> {
     let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
     let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
-    let state =
-        Arc::new(PublishedState::new(&settings(), Arc::clone(&published), Arc::clone(&telemetry)));
+    let state = Arc::new(PublishedState::new(
+        &settings(),
+        Arc::new(SystemClock),
+        Arc::clone(&published),
+        Arc::clone(&telemetry),
+    ));
     let policy = Arc::new(OthersRead);
     let config_apply = settings().config_apply;
     tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
--- a/crates/hawthornstand/tests/support/gateway.rs
+++ b/crates/hawthornstand/tests/support/gateway.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hawthornstand::gateway::crash_tracker::CrashTracker;
@@ -14,8 +15,10 @@
 use hawthornstand::gateway::settings::{ExtraAttemptBounds, GatewaySettings, Location};
 use hawthornstand::gateway::state::PublishedState;
 use hawthornstand::gateway::telemetry::Telemetry;
+use hawthornstand::process::clock::{Clock, SystemClock};
 use hawthornstand::process::log_limit::LogLosses;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::Role;
 
@@ -62,8 +65,40 @@
     }
 }
 
+/// Clock of a machine that can be suspended: the boot clock runs on, the monotonic one does not.
+#[derive(Default)]
+pub struct SuspendableClock {
+    since_boot_ms: AtomicU64,
+}
+
+impl SuspendableClock {
+    /// Suspends the machine for a time.
+    pub fn suspend(&self, time: Duration) {
+        self.since_boot_ms.fetch_add(time.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+impl Clock for SuspendableClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.since_boot_ms.load(Ordering::Relaxed)
+    }
+}
+
 /// Creates a VM at the address 127.0.0.`number`.
 pub fn linkable_vm(number: u8, store: Arc<dyn PublishedStore>) -> Arc<Peers> {
+    linkable_vm_with(number, Arc::new(SystemClock), store)
+}
+
+/// Creates a VM at the address 127.0.0.`number` with a clock.
+pub fn linkable_vm_with(
+    number: u8,
+    clock: Arc<dyn Clock>,
+    store: Arc<dyn PublishedStore>,
+) -> Arc<Peers> {
     let address = ([127, 0, 0, number], 7102).into();
     let settings = GatewaySettings {
         peer_address: Some(address),
@@ -72,7 +107,7 @@
     };
     let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
     let link_bytes = telemetry.link_bytes.clone();
-    let state = Arc::new(PublishedState::new(&settings, store, telemetry));
+    let state = Arc::new(PublishedState::new(&settings, clock, store, telemetry));
     Arc::new(Peers::new(address, &settings, Arc::new(CrashTracker::default()), state, link_bytes))
 }
 
