Log routes whose services the configuration does not publish

A configuration whose routes can serve nothing was put in force without a line; callers got 503 and the log of the activation looked like any other.

--- a/crates/hawthornstand/src/gateway/config_in_force.rs
+++ b/crates/hawthornstand/src/gateway/config_in_force.rs
@@ -10,6 +10,9 @@
 use crate::gateway::weighted_round_robin::WeightedRoundRobin;
 use crate::locks::lock;
 
+/// Number of routes that a line of the log names.
+const MAX_EXAMPLES: usize = 5;
+
 /// The configuration that requests are served with.
 pub struct ActiveConfig {
     pub limits: CallerLimits,
@@ -47,6 +50,27 @@
     }
 }
 
+/// Logs the routes that name a service without an entry: their requests have no backend server.
+fn log_unpublished_services(routing: &Routing) {
+    let mut published: Vec<&str> =
+        routing.services.iter().map(|service| service.name.as_str()).collect();
+    published.sort_unstable();
+    let mut unserved: Vec<&str> = Vec::new();
+    for route in &routing.routes {
+        let names = route.target.service_names();
+        if names.iter().all(|name| published.binary_search(name).is_ok()) {
+            continue;
+        }
+        unserved.push(&route.name);
+    }
+    if unserved.is_empty() {
+        return;
+    }
+    let examples = unserved[..unserved.len().min(MAX_EXAMPLES)].join(",");
+    log::warn!(version = routing.version, routes = unserved.len(), examples = examples;
+        "routes name services that the configuration does not publish");
+}
+
 impl ConfigInForce {
     /// Returns the active configuration; none before the first one.
     pub fn active(&self) -> Option<Arc<ActiveConfig>> {
@@ -75,6 +99,7 @@
             }
             Decision::Unchanged => return,
         }
+        log_unpublished_services(&routing);
         directory.apply_services(&routing.services);
         let routes = routing.routes.into_iter().map(|route| self.resolve(route, directory));
         let table = RouteTable::new(routes.collect());
--- a/crates/hawthornstand/src/gateway/model.rs
+++ b/crates/hawthornstand/src/gateway/model.rs
@@ -95,3 +95,15 @@
         pub warmup_left: Duration,
     }
 }
+
+impl Target {
+    /// Returns the names of all services that a request may go to.
+    pub fn service_names(&self) -> Vec<&str> {
+        match self {
+            Self::Weighted(services) => {
+                services.iter().map(|weighted| weighted.service.as_str()).collect()
+            }
+            Self::Shards(set) => set.services.iter().map(String::as_str).collect(),
+        }
+    }
+}
