--- a/crates/hawthornstand/tests/gateway_store_watch.rs
+++ b/crates/hawthornstand/tests/gateway_store_watch.rs
@@ -137,22 +137,26 @@
     }
 }
 
-/// Starts a VM without others; returns its state.
-fn start_alone(store: &Arc<DeafStore>) -> Arc<PublishedState> {
+/// Starts a VM; returns its state.
+fn start_with(store: Arc<dyn PublishedStore>, policy: Arc<dyn ReadPolicy>) -> Arc<PublishedState> {
     let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
-    let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
-    let state = Arc::new(PublishedState::new(
-        &settings(),
-        Arc::new(SystemClock),
-        Arc::clone(&published),
-        Arc::clone(&telemetry),
-    ));
-    let policy = Arc::new(AlwaysRead);
+    let (clock, shown) = (Arc::new(SystemClock), Arc::clone(&telemetry));
+    let state = Arc::new(PublishedState::new(&settings(), clock, Arc::clone(&store), shown));
     let config_apply = settings().config_apply;
-    tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
+    tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), store, policy, telemetry));
     state
 }
 
+/// Starts a VM whose store the others read, too.
+fn start(store: &Arc<CountingStore>) -> Arc<PublishedState> {
+    start_with(Arc::clone(store) as _, Arc::new(OthersRead))
+}
+
+/// Starts a VM without others.
+fn start_alone(store: &Arc<DeafStore>) -> Arc<PublishedState> {
+    start_with(Arc::clone(store) as _, Arc::new(AlwaysRead))
+}
+
 /// Pattern: the store is silent for a moment and never answers the watches that were open.
 #[tokio::test(start_paused = true)]
 async fn change_that_an_open_watch_does_not_return_is_known_within_the_time_for_changes() {
@@ -182,22 +186,6 @@
     assert_eq!(store.reads.load(Ordering::Relaxed), reads);
 }
 
-/// Starts a VM; returns its state.
-fn start(store: &Arc<CountingStore>) -> Arc<PublishedState> {
-    let telemetry = Arc::new(Telemetry::new(LogLosses::new(|| 0)));
-    let published: Arc<dyn PublishedStore> = Arc::clone(store) as Arc<dyn PublishedStore>;
-    let state = Arc::new(PublishedState::new(
-        &settings(),
-        Arc::new(SystemClock),
-        Arc::clone(&published),
-        Arc::clone(&telemetry),
-    ));
-    let policy = Arc::new(OthersRead);
-    let config_apply = settings().config_apply;
-    tokio::spawn(store_watch::run(config_apply, Arc::clone(&state), published, policy, telemetry));
-    state
-}
-
 #[tokio::test(start_paused = true)]
 async fn started_vm_is_initialized_only_once_a_watch_has_confirmed_its_list() {
     let store = Arc::new(CountingStore::default());
