--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,35 +1,40 @@
-//! A search that crashes every backend server that runs it comes again and again in a quiet hour.
+//! All VMs are killed and start again while their callers wait; the backend servers are sound and busy.
 
 #[path = "../harness.rs"]
 mod harness;
 
+use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use harness::*;
 
 const HOST: &str = "desk.example";
-const SHARDS: [&str; 6] = ["shard-1", "shard-2", "shard-3", "shard-4", "shard-5", "shard-6"];
-const REPLICAS: usize = 3;
-/// `maxAttempts` of the search route: every replica of a shard may be asked.
-const MAX_ATTEMPTS: u32 = 3;
-const POISON_PATH: &str = "/search/poison";
-/// Time after which a crashed backend server is back, as a new boot with a new id.
-const BACK_AFTER_MS: u64 = 3000;
-/// Time after a crash at which the store drops the entry: three status reports of 1.2 s.
-const ENTRY_LAPSES_MS: u64 = 3600;
-/// `stableWindowMs`.
-const STABLE_WINDOW_S: f64 = 5.0;
-/// Retries that may reach backend servers later than that after the third crash.
-const MAX_RETRIES: usize = 3;
-const SENDS: usize = 9;
-const SEND_EVERY_MS: u64 = 8000;
-/// Time between two searches of other callers.
-const ORDINARY_EVERY_MS: u64 = 2000;
+const VMS: usize = 2;
+const LEAFS: usize = 3;
+const SLOTS: usize = 4;
+const QUEUE: usize = 2;
+/// Each caller has one request at a time: together as many as the backend servers take.
+const CALLERS: usize = LEAFS * (SLOTS + QUEUE);
+const WORK_MS: u64 = 2000;
+const TARGET_MS: u64 = 4000;
+const DEADLINE_MS: u64 = 10_000;
+/// Time between the starts of two callers.
+const CALLER_EVERY_MS: u64 = 400;
+/// Time for which the processes are down, as in the closing faults of the site files.
+const DOWN_MS: u64 = 1500;
+/// `recoveryS`.
+const RECOVERY_S: f64 = 12.0;
+const BEFORE_S: f64 = 25.0;
+const AFTER_S: f64 = 50.0;
+/// Pause of a caller after an answer, and before it connects again where it was refused.
+const PAUSE_MS: u64 = 50;
 
-type Leafs = Arc<Mutex<Vec<Leaf>>>;
+/// When each request was sent, and whether it was served.
+type Requests = Arc<Mutex<Vec<(f64, bool)>>>;
 
 fn main() {
     let path = std::env::args().nth(1).unwrap_or_else(|| give_up("the path of the record is missing"));
@@ -40,135 +45,107 @@
 fn run(record: &Record) -> i32 {
     let work = Work::create();
     let store = Store::start();
-    let services: Vec<(&str, usize)> = SHARDS.iter().map(|name| (*name, 26)).collect();
-    let routes = [route(HOST, "/search/", "safe", &SHARDS, (2500, 150), MAX_ATTEMPTS)];
-    store.put("op/config", &config(7, &routes, &services));
-    let leafs: Leafs = Arc::default();
-    for shard in SHARDS {
-        for number in 0..REPLICAS {
-            let leaf = start_leaf(shard, number, record, &store);
-            lock(&leafs).push(leaf);
-        }
-    }
-    {
-        let (leafs, record, store) = (leafs.clone(), record.clone(), store.clone());
-        thread::spawn(move || restart_crashed(&leafs, &record, &store));
-    }
-    let ips = [free_ip(), free_ip()];
+    let routes = [route(HOST, "/report/", "safe", &["reports"], (DEADLINE_MS, TARGET_MS), 1)];
+    store.put("op/config", &config(7, &routes, &[("reports", 110)]));
+    let settings = LeafSettings {
+        service: "reports".to_string(),
+        slots: SLOTS,
+        queue: QUEUE,
+        max_connections: 110,
+        work_ms: WORK_MS,
+    };
+    let leafs: Vec<Leaf> =
+        (0..LEAFS).map(|n| Leaf::start(&format!("i-reports-{n}"), settings.clone(), "", record)).collect();
+    leafs.iter().for_each(|leaf| leaf.publish(&store));
+    let ips: Vec<_> = (0..VMS).map(|_| free_ip()).collect();
     let mut vms: Vec<Vm> =
-        (1..).zip(ips).map(|(n, ip)| Vm::new(&format!("front-{n}"), ip, &store, &ips, &work.0)).collect();
+        (1..).zip(&ips).map(|(n, ip)| Vm::new(&format!("front-{n}"), *ip, &store, &ips, &work.0)).collect();
     vms.iter_mut().for_each(Vm::start);
     vms.iter().for_each(Vm::wait_ready);
     sleep_ms(3000);
-    for number in 0..6 {
-        if send(&vms[number % 2], "/search/waiter", &format!("first-{number}"), record) != 200 {
-            record.say("a search before the disruption was not answered");
-            return NOT_RUN;
-        }
-        sleep_ms(200);
+
+    let requests: Requests = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let begin = Instant::now();
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let front = vms[number % VMS].front;
+        let (requests, stop, record) = (requests.clone(), stop.clone(), record.clone());
+        callers.push(thread::spawn(move || run_caller(front, &requests, &stop, &record)));
+        sleep_ms(CALLER_EVERY_MS);
+    }
+    thread::sleep(Duration::from_secs_f64(BEFORE_S).saturating_sub(begin.elapsed()));
+    let fault_s = record.now_s();
+    if with_trouble() {
+        record.say("all VMs are killed");
+        vms.iter_mut().for_each(Vm::kill);
+        sleep_ms(DOWN_MS);
+        vms.iter_mut().for_each(Vm::start);
+        record.say("all VMs are started again");
+    }
+    let back_s = record.now_s();
+    thread::sleep(Duration::from_secs_f64(AFTER_S));
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let _ = caller.join();
     }
 
-    let mut crashes = 0;
-    let mut third_crash_s: Option<f64> = None;
-    let mut late_retries = 0;
-    for number in 0..SENDS {
-        let sent_s = record.now_s();
-        let runs_before = poison_runs();
-        send(&vms[number % 2], POISON_PATH, &format!("poison-{number}"), record);
-        sleep_ms(600);
-        let runs = poison_runs() - runs_before;
-        if with_trouble() {
-            crashes += runs;
-        }
-        let is_late = third_crash_s.is_some_and(|at| sent_s > at + STABLE_WINDOW_S);
-        late_retries += usize::from(runs > 0 && is_late);
+    let requests = std::mem::take(&mut *lock(&requests));
+    let share = |from: f64, to: f64| {
+        let sent: Vec<bool> =
+            requests.iter().filter(|(at, _)| *at >= from && *at < to).map(|(_, served)| *served).collect();
+        (sent.iter().filter(|served| **served).count(), sent.len())
+    };
+    for start in (0..(back_s + AFTER_S) as usize).step_by(10) {
+        let (served, sent) = share(start as f64, start as f64 + 10.0);
+        record.say(&format!("sent from {start} s on: {served} of {sent} served"));
+    }
+    for leaf in &leafs {
         record.say(&format!(
-            "send {number} of {POISON_PATH} reached {runs} backend servers; {crashes} crashes so far"
+            "{} ran {} requests, turned away {} requests and {} health probes",
+            leaf.id,
+            leaf.runs.load(Ordering::SeqCst),
+            leaf.shed_requests.load(Ordering::SeqCst),
+            leaf.shed_probes.load(Ordering::SeqCst)
         ));
-        if third_crash_s.is_none() && crashes >= 3 {
-            third_crash_s = Some(record.now_s());
-        }
-        let mut left_ms = SEND_EVERY_MS - 600;
-        let mut ordinary = 0;
-        while left_ms > ORDINARY_EVERY_MS {
-            sleep_ms(ORDINARY_EVERY_MS);
-            left_ms -= ORDINARY_EVERY_MS;
-            ordinary += 1;
-            let id = format!("ordinary-{number}-{ordinary}");
-            send(&vms[(number + ordinary) % 2], "/search/waiter", &id, record);
-        }
-        sleep_ms(left_ms);
     }
     for vm in &vms {
-        for text in ["not counted as crashes", "suspected of crashing"] {
-            record.say(&format!("log of {}: {} lines '{text}'", vm.name, vm.log_lines(text).len()));
-        }
+        let lines = vm.log_lines("another backend server has the address").len();
+        record.say(&format!("log of {}: {lines} lines 'another backend server has the address'", vm.name));
     }
+    let (served_before, sent_before) = share(0.0, fault_s);
+    let (served, sent) = share(back_s + RECOVERY_S, f64::MAX);
+    record.say(&format!("before the fault, {served_before} of {sent_before} were served"));
     record.say(&format!(
-        "{late_retries} retries sent later than {STABLE_WINDOW_S} s after the third crash reached backend servers; {MAX_RETRIES} are allowed"
+        "of the requests sent later than {RECOVERY_S} s after the VMs were back, {served} of {sent} were served"
     ));
-    if late_retries > MAX_RETRIES { BROKEN } else { HELD }
-}
-
-fn start_leaf(shard: &str, number: usize, record: &Record, store: &Store) -> Leaf {
-    let settings = LeafSettings {
-        service: shard.to_string(),
-        slots: 2,
-        queue: 12,
-        max_connections: 26,
-        work_ms: 8,
-    };
-    let poison = if with_trouble() { "poison" } else { "" };
-    let leaf = Leaf::start(&format!("i-{shard}-{number:03}"), settings, poison, record);
-    leaf.publish(store);
-    leaf
-}
-
-/// Starts crashed backend servers again, and drops their old entries.
-fn restart_crashed(leafs: &Leafs, record: &Record, store: &Store) {
-    let mut number = REPLICAS;
-    loop {
-        sleep_ms(20);
-        let mut crashed = Vec::new();
-        lock(leafs).retain(|leaf| {
-            let is_down = leaf.is_down.load(Ordering::SeqCst);
-            if is_down {
-                crashed.push(leaf.clone());
-            }
-            !is_down
-        });
-        for leaf in crashed {
-            number += 1;
-            let (leafs, record, store) = (leafs.clone(), record.clone(), store.clone());
-            thread::spawn(move || {
-                sleep_ms(BACK_AFTER_MS);
-                let new = start_leaf(&leaf.settings.service, number, &record, &store);
-                record.line(&format!("{} is back as {}", leaf.id, new.id));
-                lock(&leafs).push(new);
-                sleep_ms(ENTRY_LAPSES_MS - BACK_AFTER_MS);
-                store.remove(&format!("servers/{}", leaf.id));
-            });
-        }
+    if served_before * 4 < sent_before || sent == 0 {
+        return NOT_RUN;
     }
+    if served * 4 < sent { BROKEN } else { HELD }
 }
 
-/// Sends a search; returns the status.
-fn send(vm: &Vm, path: &str, id: &str, record: &Record) -> u16 {
-    let request = CallerRequest {
-        method: "GET",
-        host: HOST,
-        path: path.to_string(),
-        id: id.to_string(),
-        deadline_ms: 2500,
-        body: String::new(),
-    };
-    record.line(&format!("client sends {id} {path} to {}", vm.name));
-    let answer = call(vm.front, &request);
-    record.line(&format!("client gets {id}: {}", outcome(&answer)));
-    answer.map_or(0, |answer| answer.status())
-}
-
-/// Returns the number of runs of the crashing search so far.
-fn poison_runs() -> usize {
-    runs().iter().filter(|(_, _, path)| path == POISON_PATH).count()
+/// Sends one request after the other to one VM until it is stopped; waits as a refusal says.
+fn run_caller(front: SocketAddr, requests: &Requests, stop: &AtomicBool, record: &Record) {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    while !stop.load(Ordering::SeqCst) {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let request = CallerRequest {
+            method: "GET",
+            host: HOST,
+            path: format!("/report/{number}"),
+            id: format!("r{number}"),
+            deadline_ms: DEADLINE_MS,
+            body: String::new(),
+        };
+        let sent_s = record.now_s();
+        record.line(&format!("client sends {} to {front}", request.id));
+        let answer = call(front, &request);
+        record.line(&format!("client gets {}: {}", request.id, outcome(&answer)));
+        let served = answer.as_ref().is_ok_and(|answer| answer.status() == 200);
+        lock(requests).push((sent_s, served));
+        let retry_after: Option<f64> = answer.ok().and_then(|answer| answer.header("retry-after").parse().ok());
+        let pause = retry_after.map_or(Duration::from_millis(PAUSE_MS), Duration::from_secs_f64);
+        thread::sleep(pause);
+    }
 }
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -89,7 +89,7 @@
     for _ in 0..200 {
         let number = NEXT.fetch_add(1, Ordering::Relaxed) as u32;
         let octet = |value: u32| (value % 250) as u8 + 1;
-        let ip = Ipv4Addr::new(127, octet(process) / 2 + 100, octet(process / 250), octet(number));
+        let ip = Ipv4Addr::new(127, octet(process), octet(process / 250), octet(number));
         let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
         if is_free(METRICS_PORT) && is_free(8224) && is_free(8226) && is_free(8227) {
             return ip;
