--- a/review/harness.rs
+++ b/review/harness.rs
@@ -46,12 +46,24 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the case because it could not run.
+/// Processes that were started and have not ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case because it could not run, and all processes that it started.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    for process in lock(&STARTED).drain(..) {
+        let _ = Command::new("kill").args(["-s", "KILL", &process.to_string()]).status();
+    }
+    let _ = std::fs::remove_dir_all(work_path());
     std::process::exit(NOT_RUN);
 }
 
+/// Returns the path of the temporary folder of this case.
+fn work_path() -> PathBuf {
+    std::env::temp_dir().join(format!("hawthornstand-review-{}", std::process::id()))
+}
+
 /// What was sent, answered and run, in order, also written to `record.txt`.
 #[derive(Clone)]
 pub struct Record {
@@ -720,7 +732,10 @@
             .stderr(Stdio::from(log("-errors")))
             .spawn();
         match process {
-            Ok(process) => self.process = Some(process),
+            Ok(process) => {
+                lock(&STARTED).push(process.id());
+                self.process = Some(process);
+            }
             Err(error) => give_up(&format!("{}: {error}; was the deploy file's build run?", words[0])),
         }
     }
@@ -730,6 +745,7 @@
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            lock(&STARTED).retain(|started| *started != process.id());
         }
     }
 
@@ -788,7 +804,7 @@
 
 impl Work {
     pub fn create() -> Self {
-        let path = std::env::temp_dir().join(format!("hawthornstand-review-{}", std::process::id()));
+        let path = work_path();
         std::fs::create_dir_all(&path).unwrap_or_else(|e| give_up(&e.to_string()));
         Self(path)
     }
