--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -46,7 +46,8 @@
     let work = Work::create();
     let store = Store::start();
     let routes = [route(HOST, "/report/", "safe", &["reports"], (DEADLINE_MS, TARGET_MS), 1)];
-    store.put("op/config", &config(7, &routes, &[("reports", 110)]));
+    let services = [("reports", 110)];
+    store.put("op/config", &config(7, &routes, &services));
     let settings = LeafSettings {
         service: "reports".to_string(),
         slots: SLOTS,
@@ -76,6 +77,8 @@
     }
     thread::sleep(Duration::from_secs_f64(BEFORE_S).saturating_sub(begin.elapsed()));
     let fault_s = record.now_s();
+    store.put("op/config", &config(9, &routes, &services));
+    record.say("a configuration with another version is written and acknowledged");
     if with_trouble() {
         record.say("all VMs are killed");
         vms.iter_mut().for_each(Vm::kill);
