--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -22,6 +22,11 @@
 const DRAIN: Duration = Duration::from_millis(4000);
 /// `stableWindowMs` of the settings.
 const STABLE_WINDOW: Duration = Duration::from_millis(5000);
+/// `historyS` of the settings.
+const HISTORY: Duration = Duration::from_secs(20);
+/// Limits of a page of a list.
+const MAX_PAGE_BYTES: usize = 1_000_000;
+const MAX_PAGE_ITEMS: usize = 500;
 /// `configApplyMs` of the settings.
 const CONFIG_APPLY: Duration = Duration::from_millis(4000);
 
@@ -173,6 +178,7 @@
 
 /// A change of a key; no value if it was removed.
 struct Event {
+    at: Instant,
     key: String,
     revision: u64,
     value: Option<String>,
@@ -225,7 +231,7 @@
         state.revision += 1;
         let revision = state.revision;
         let value = value.map(str::to_string);
-        state.history.push(Event { key: key.to_string(), revision, value });
+        state.history.push(Event { at: Instant::now(), key: key.to_string(), revision, value });
         self.shared.1.notify_all();
         Instant::now()
     }
@@ -283,8 +289,21 @@
             event.value.is_some() && event.key.starts_with(prefix) && event.key.as_str() > after
         });
         latest.sort_by(|a, b| a.key.cmp(&b.key));
-        let items: Vec<String> = latest.into_iter().map(item).collect();
-        format!(r#"{{"items":[{}],"morePages":false,"asOf":{}}}"#, items.join(","), state.revision)
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        for event in &latest {
+            let next = item(event);
+            bytes += next.len();
+            if !items.is_empty() && (bytes > MAX_PAGE_BYTES || items.len() == MAX_PAGE_ITEMS) {
+                break;
+            }
+            items.push(next);
+        }
+        format!(
+            r#"{{"items":[{}],"morePages":{},"asOf":{}}}"#,
+            items.join(","),
+            items.len() < latest.len(),
+            state.revision
+        )
     }
 
     /// Returns the answer to a watch; none if it is cut while it waits.
@@ -294,6 +313,10 @@
         if after > state.revision {
             return Some((410, r#"{"error":"no such history"}"#.to_string()));
         }
+        if state.history.iter().any(|event| event.revision > after && event.at.elapsed() > HISTORY)
+        {
+            return Some((410, r#"{"error":"history is gone"}"#.to_string()));
+        }
         loop {
             let waited = began.elapsed();
             let is_requested =
@@ -321,7 +344,7 @@
 
 /// Encodes a change as the store does.
 fn item(event: &Event) -> String {
-    let Event { key, revision, value } = event;
+    let Event { key, revision, value, .. } = event;
     match value {
         Some(value) => format!(
             r#"{{"key":"{key}","value":"{}","revision":{revision},"created":{revision},"lease":0}}"#,
@@ -759,7 +782,7 @@
 form = "read"
 writesPerS = 400
 readsPerS = 2000
-historyS = 20
+historyS = {history}
 valueBytes = 1048576
 minTtlMs = 1000
 "#,
@@ -768,6 +791,7 @@
             stable = STABLE_WINDOW.as_millis(),
             drain = DRAIN.as_millis(),
             apply = CONFIG_APPLY.as_millis(),
+            history = HISTORY.as_secs(),
             store = store.address,
         );
         let path = site.folder.join(format!("{zone}.toml"));
@@ -1178,6 +1202,50 @@
     Ok(most > 2 * vms.len())
 }
 
+/// Another writer leaves large entries that cannot be read; then a configuration moves a route.
+fn large_entries(record: &Record, trouble: bool) -> Result<bool, Failure> {
+    let site = Site::new()?;
+    let services = [("portal", 1), ("payroll", 1)];
+    let routes = [route("/status/", "safe", "portal")];
+    let work = Duration::from_millis(20);
+    let (store, leafs, vms) = start_deployment(&site, record, &routes, &services, work)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = load(&vms, &stop, ("GET", "/status/"), Duration::from_millis(50), record);
+    thread::sleep(STABLE_WINDOW + Duration::from_secs(2));
+    if trouble {
+        let junk = "\u{7f}".repeat(1_000_000);
+        for number in 0..16 {
+            store.change(&format!("servers/i-junk-{number}"), Some(&junk));
+        }
+        record.say("another writer leaves 16 entries of 1,000,000 bytes that cannot be read");
+    }
+    thread::sleep(Duration::from_secs(2));
+    let routes = [route("/status/", "safe", "payroll")];
+    let acked_at = store.change("op/config", Some(&config(12, &routes, &["portal", "payroll"])));
+    record.say("a configuration moves the route to payroll");
+    thread::sleep(CONFIG_APPLY + Duration::from_secs(30));
+    stop.store(true, Ordering::Relaxed);
+    let seen = callers.join().unwrap_or_default();
+    let due = acked_at + CONFIG_APPLY;
+    let late: Vec<&Seen> = seen
+        .iter()
+        .filter(|seen| {
+            let signature =
+                seen.answer.as_ref().map_or("", |answer| answer.header("x-server-signature"));
+            seen.sent_at > due && signature.starts_with("portal.")
+        })
+        .collect();
+    let last = late.last().map_or(0.0, |seen| (seen.sent_at - acked_at).as_secs_f64());
+    record.say(&format!(
+        "requests: {}; sent later than {} ms after the ack and run by the old service: {}, the last {last:.1} s after it",
+        seen.len(),
+        CONFIG_APPLY.as_millis(),
+        late.len()
+    ));
+    drop(leafs);
+    Ok(!late.is_empty())
+}
+
 fn run() -> Result<bool, Failure> {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = arguments.as_slice() else {
@@ -1198,6 +1266,7 @@
     let is_broken = match case.as_str() {
         "watches" => watches_are_cut(&record, trouble),
         "entries" => entries_with_missing_fields(&record, trouble),
+        "large" => large_entries(&record, trouble),
         "quiet" => probes_of_quiet_servers(&record, trouble),
         "crashes" => caller_leaves_before_the_crash(&record, trouble),
         _ => return Err(format!("there is no case {case}").into()),
