--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -674,6 +674,26 @@
 
 // ------------------------------------------------------------------ VMs
 
+/// Size and bounds of a deployment.
+#[derive(Clone, Copy)]
+struct Sheet {
+    drain: Duration,
+    apply: Duration,
+    stable: Duration,
+    vms: usize,
+}
+
+/// One VM in each zone, with the bounds of kadeh-search.
+const SMALL: Sheet = Sheet { drain: DRAIN, apply: CONFIG_APPLY, stable: STABLE_WINDOW, vms: 3 };
+
+/// More VMs than all may read the store, with the bounds of krtacka-iskalnik-grown.
+const GROWN: Sheet = Sheet {
+    drain: Duration::from_millis(5000),
+    apply: Duration::from_millis(5000),
+    stable: Duration::from_millis(6000),
+    vms: 16,
+};
+
 /// The zones of a small deployment with their regions.
 const ZONES: [(&str, &str); 3] =
     [("marmara-a", "marmara"), ("ege-a", "ege"), ("akdeniz-a", "akdeniz")];
@@ -721,13 +741,19 @@
 }
 
 /// Starts the VMs of a site with the command of the deploy file, and waits until each is ready.
-fn start_vms(site: &Site, store: &Store, record: &Record) -> Result<Vec<Vm>, Failure> {
-    let addresses: Vec<IpAddr> = (0..ZONES.len() as u8).map(|index| site.ip(10 + index)).collect();
-    let seeds: Vec<String> = addresses.iter().map(|ip| format!("\"{ip}:8224\"")).collect();
+fn start_vms(
+    site: &Site,
+    store: &Store,
+    record: &Record,
+    sheet: Sheet,
+) -> Result<Vec<Vm>, Failure> {
+    let addresses: Vec<IpAddr> = (0..sheet.vms as u8).map(|index| site.ip(10 + index)).collect();
+    let seeds: Vec<String> = addresses.iter().take(3).map(|ip| format!("\"{ip}:8224\"")).collect();
     let mut vms = Vec::new();
-    for (ip, (zone, region)) in addresses.iter().zip(ZONES) {
+    for (index, ip) in addresses.iter().enumerate() {
+        let ((zone, region), number) = (ZONES[index % ZONES.len()], index / ZONES.len() + 1);
         let settings = format!(
-            r#"nodeName = "front-{zone}-1"
+            r#"nodeName = "front-{zone}-{number}"
 role = "entry"
 machineClass = "front"
 serves = ["front","control"]
@@ -788,15 +814,15 @@
 "#,
             seeds = seeds.join(","),
             heartbeat = HEARTBEAT.as_millis(),
-            stable = STABLE_WINDOW.as_millis(),
-            drain = DRAIN.as_millis(),
-            apply = CONFIG_APPLY.as_millis(),
+            stable = sheet.stable.as_millis(),
+            drain = sheet.drain.as_millis(),
+            apply = sheet.apply.as_millis(),
             history = HISTORY.as_secs(),
             store = store.address,
         );
-        let path = site.folder.join(format!("{zone}.toml"));
+        let path = site.folder.join(format!("{zone}-{number}.toml"));
         std::fs::write(&path, settings)?;
-        let log = File::create(site.folder.join(format!("{zone}.log")))?;
+        let log = File::create(site.folder.join(format!("{zone}-{number}.log")))?;
         // The command of deploy/system.toml.
         let process = Command::new("target/dist/hawthornstand-platformd")
             .args(["--metrics-port", "7740"])
@@ -930,7 +956,7 @@
             leafs.push(Leaf::start(record, &store, ip, (&id, service, zone), work)?);
         }
     }
-    let vms = start_vms(site, &store, record)?;
+    let vms = start_vms(site, &store, record, SMALL)?;
     Ok((store, leafs, vms))
 }
 
@@ -1246,6 +1272,103 @@
     Ok(!late.is_empty())
 }
 
+/// Returns how often each VM has read the store, by its metrics.
+fn store_reads(vms: &[Vm]) -> Vec<u64> {
+    let read = |vm: &Vm| -> Option<u64> {
+        let address = SocketAddr::new(vm.callers.ip(), 7740);
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: vm\r\n\r\n").ok()?;
+        let metrics = read_message(&mut stream, &mut Vec::new()).ok()??;
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let line =
+            text.lines().find(|line| line.starts_with("hawthornstand_store_reads_total "))?;
+        line.split(' ').nth(1)?.parse().ok()
+    };
+    vms.iter().map(|vm| read(vm).unwrap_or(0)).collect()
+}
+
+/// The VMs that read the store leave for good, six of sixteen, and then a backend server leaves without a word.
+fn readers_leave(record: &Record, trouble: bool) -> Result<bool, Failure> {
+    let site = Site::new()?;
+    let routes = [route("/status/", "safe", "portal")];
+    let config = |version| {
+        let text = config(version, &routes, &["portal"]);
+        text.replace("\"maxConnections\":110", "\"maxConnections\":26")
+    };
+    let store = Store::start((site.ip(1), 0).into())?;
+    store.change("op/config", Some(&config(7)));
+    let mut leafs = Vec::new();
+    for (index, (zone, _)) in ZONES.iter().enumerate() {
+        let id = format!("i-portal-{index}");
+        let work = Duration::from_millis(120);
+        let ip = site.ip(30 + index as u8);
+        leafs.push(Leaf::start(record, &store, ip, (&id, "portal", zone), work)?);
+    }
+    let vms = start_vms(&site, &store, record, GROWN)?;
+    thread::sleep(Duration::from_secs(5));
+    // A change wakes the VMs that read the store, and these read again.
+    let before = store_reads(&vms);
+    for version in [9, 10] {
+        store.change("op/config", Some(&config(version)));
+        thread::sleep(Duration::from_millis(700));
+    }
+    let after = store_reads(&vms);
+    let mut reads = before.iter().zip(&after).map(|(before, after)| after - before);
+    let (mut readers, vms): (Vec<Vm>, Vec<Vm>) =
+        vms.into_iter().partition(|_| reads.next().is_some_and(|reads| reads > 0));
+    if readers.len() > 8 {
+        return Err("more VMs than expected read the store".into());
+    }
+    record.say(&format!("{} of the VMs read the store", readers.len()));
+    if trouble {
+        for vm in &readers {
+            record.say(&format!("the VM at {} gets SIGTERM and leaves", vm.callers));
+            Command::new("kill").args(["-TERM", &vm.process.id().to_string()]).status()?;
+            thread::sleep(Duration::from_millis(500));
+        }
+        for vm in &mut readers {
+            vm.process.wait()?;
+        }
+    }
+    record.say(&format!("callers use the {} other VMs", vms.len()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = load(&vms, &stop, ("GET", "/status/"), Duration::from_millis(5), record);
+    // Everything is calm for longer than the stable window.
+    thread::sleep(GROWN.stable + Duration::from_secs(6));
+    store.change("op/config", Some(&config(12)));
+    record.say("the operator publishes a configuration");
+    thread::sleep(Duration::from_millis(400));
+    let gone = &leafs[0];
+    let acked_at = store.change(&gone.key(), None);
+    record.say(&format!("{} leaves: its entry is removed, it serves on", gone.id));
+    thread::sleep(GROWN.drain + Duration::from_secs(4));
+    stop.store(true, Ordering::Relaxed);
+    let seen = callers.join().unwrap_or_default();
+    let sent: HashMap<&str, Instant> =
+        seen.iter().map(|seen| (seen.request_id.as_str(), seen.sent_at)).collect();
+    let due = acked_at + GROWN.drain;
+    let late: Vec<Arrival> = gone
+        .arrivals()
+        .into_iter()
+        .filter(|arrival| {
+            arrival.at > due && sent.get(arrival.request_id.as_str()).is_some_and(|at| *at > due)
+        })
+        .collect();
+    let last = late.last().map_or(0.0, |arrival| (arrival.at - acked_at).as_secs_f64());
+    let answered = seen.iter().filter(|seen| seen.status() == 200).count();
+    record.say(&format!("requests: {}, answered 200: {answered}", seen.len()));
+    record.say(&format!(
+        "requests that reached {} later than {} ms after the store's ack of its removal: {}, the last {last:.1} s after it",
+        gone.id,
+        GROWN.drain.as_millis(),
+        late.len()
+    ));
+    if answered * 2 < seen.len() {
+        return Err("too few requests were served".into());
+    }
+    Ok(!late.is_empty())
+}
+
 fn run() -> Result<bool, Failure> {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = arguments.as_slice() else {
@@ -1266,6 +1389,7 @@
     let is_broken = match case.as_str() {
         "watches" => watches_are_cut(&record, trouble),
         "entries" => entries_with_missing_fields(&record, trouble),
+        "readers" => readers_leave(&record, trouble),
         "large" => large_entries(&record, trouble),
         "quiet" => probes_of_quiet_servers(&record, trouble),
         "crashes" => caller_leaves_before_the_crash(&record, trouble),
