--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -1024,12 +1024,18 @@
 /// Another writer leaves entries with missing fields that name a backend server of another service.
 fn entries_with_missing_fields(record: &Record, trouble: bool) -> Result<bool, Failure> {
     let site = Site::new()?;
-    let routes = [route("/status/", "safe", "portal"), route("/pay/", "safe", "payroll")];
+    let routes = [
+        route("/status/", "safe", "portal"),
+        route("/book/", "unsafe", "portal"),
+        route("/pay/", "safe", "payroll"),
+    ];
     let work = Duration::from_millis(20);
     let services = [("portal", 1), ("payroll", 1)];
     let (store, leafs, vms) = start_deployment(&site, record, &routes, &services, work)?;
     let stop = Arc::new(AtomicBool::new(false));
-    let callers = load(&vms, &stop, ("GET", "/status/"), Duration::from_millis(20), record);
+    let interval = Duration::from_millis(40);
+    let statuses = load(&vms, &stop, ("GET", "/status/"), interval, record);
+    let bookings = load(&vms, &stop, ("POST", "/book/"), interval, record);
     thread::sleep(STABLE_WINDOW + Duration::from_secs(2));
     let others = &leafs[ZONES.len()..];
     for other in others {
@@ -1048,7 +1054,10 @@
         thread::sleep(Duration::from_secs(2));
     }
     stop.store(true, Ordering::Relaxed);
-    let seen = callers.join().unwrap_or_default();
+    let seen: Vec<Seen> = [statuses, bookings]
+        .into_iter()
+        .flat_map(|callers| callers.join().unwrap_or_default())
+        .collect();
     let own: Vec<&Seen> = seen.iter().filter(|seen| seen.status() == 200).collect();
     let foreign = own
         .iter()
@@ -1058,17 +1067,19 @@
             !signature.starts_with("portal.")
         })
         .count();
-    let mut ran = 0;
+    let (mut ran, mut booked) = (0, 0);
     for leaf in &leafs[ZONES.len()..] {
         for arrival in leaf.arrivals() {
-            if arrival.path.starts_with("/status/") && arrival.outcome == "ran" {
+            // No caller asks for payroll.
+            if arrival.outcome == "ran" {
                 ran += 1;
+                booked += usize::from(arrival.path.starts_with("/book/"));
             }
         }
     }
     record.say(&format!(
-        "requests: {}, answered 200: {}; run by a service that the route never named: {ran}; answers of that service \
-         delivered with 200: {foreign}",
+        "requests: {}, answered 200: {}; run by a service that the route never named: {ran}, {booked} of \
+         them bookings; answers of that service delivered with 200: {foreign}",
         seen.len(),
         own.len()
     ));
