Limit the receive buffers of callers' connections

Callers saw: a VM that is frozen or busy while many clients send ends, as it runs out of memory: bytes that were received and not read count toward its limit.

Cause: the kernel held 128 kB for each connection before the process had read a byte, and lets buffers grow to megabytes where it reads.

Evidence: bytes_sent_to_a_frozen_vm_fit_into_memory: 400 clients send to a stopped process.

The size is set on the listener and inherited by each connection, so that it holds from the first byte. 16 KiB carry a body of 262,144 bytes over a path of 40 ms in less than a second.

--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::process::head_timeout::{HeadTimeout, RequestCounter};
+use crate::process::receive_buffer;
 use crate::process::timer::sleep_until_or_forever;
 
 /// Smallest buffer size that hyper accepts, in bytes.
@@ -58,6 +59,7 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
+    receive_buffer::limit(&listener);
     let graceful = GracefulShutdown::new();
     // Set once a stop is requested: the time until which connections are still accepted.
     let mut accept_until: Option<Instant> = None;
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod log_format;
 pub mod log_limit;
 pub mod metrics;
+pub mod receive_buffer;
 pub mod request_timeline;
 pub mod shutdown;
 pub mod silent_peer;
