Limit the memory that the bodies of callers' requests hold together

Callers saw: clients that send many bodies of legal size at once, most of which stop just short of their end, end the process, as it runs out of memory; every other caller loses its connection.

Cause: each body was collected up to maxBodyBytes for as long as its request had time; nothing counted all of them together.

Evidence: bodies_of_a_crowd_fit_into_memory, 300 clients with bodies of 262,144 bytes, of which one in eight is complete, and a VM of 64 MB. A short and a longest booking are answered while the crowd stays.

Bodies may hold a quarter of limits.memoryMb together, by the capacity of their buffers, from their first byte beyond 4 KiB to the last reference to them. If that is used up, the body that has not moved for the longest time is refused with the new error TooManyBodies, 503: nothing of it ran. Whoever sends without pauses keeps what he has; single bytes do not count as moving. If complete bodies alone leave no room, the new one is refused. A body of up to 4 KiB is always accepted, and a body that is alone is received whatever the limit is.

The product's own interface passes no limit yet.

--- a/crates/hawthornstand/src/error.rs
+++ b/crates/hawthornstand/src/error.rs
@@ -48,6 +48,8 @@
     TicketMismatch,
     /// a ticket is needed
     TicketRequired,
+    /// this VM holds too many bodies
+    TooManyBodies,
     /// the service is not published
     UnknownService,
 }
@@ -91,6 +93,7 @@
     response(ErrorKind::TicketForged, 400, Outcome::NotRun, 0),
     response(ErrorKind::TicketMismatch, 422, Outcome::NotRun, 0),
     response(ErrorKind::TicketRequired, 428, Outcome::NotRun, 1),
+    response(ErrorKind::TooManyBodies, 503, Outcome::NotRun, 250),
     response(ErrorKind::UnknownService, 404, Outcome::NotRun, 0),
 ];
 
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -24,6 +24,7 @@
 use crate::gateway::state::PublishedState;
 use crate::gateway::store_watch::{self, AlwaysRead, ReadPolicy};
 use crate::gateway::telemetry::Telemetry;
+use crate::process::body_memory::BodyMemory;
 use crate::process::clock::SystemClock;
 use crate::process::http_server::{self, HttpLimits};
 use crate::process::log_limit::LogLosses;
@@ -69,6 +70,10 @@
     let crash_tracker = Arc::new(CrashTracker::default());
     let context = GatewayContext {
         answer_memory: Arc::default(),
+        body_memory: Arc::new(BodyMemory::new(
+            settings.body_memory_bytes(),
+            telemetry.refused_bodies.clone(),
+        )),
         crash_tracker: Arc::clone(&crash_tracker),
         protocol,
         telemetry: Arc::clone(&telemetry),
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -130,7 +130,7 @@
         let max_body_bytes = active_config.limits.max_body_bytes;
         let body = tokio::select! {
             biased;
-            body = read_body(body, max_body_bytes, &time_budget) => {
+            body = read_body(body, max_body_bytes, &self.context, &time_budget) => {
                 body.map_err(|kind| refuse(kind, "body not read"))?
             }
             () = self.load.must_answer() => {
@@ -399,12 +399,14 @@
 async fn read_body(
     body: Incoming,
     max_bytes: usize,
+    context: &GatewayContext,
     time_budget: &TimeBudget,
 ) -> Result<Bytes, ErrorKind> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match tokio::time::timeout_at(time_budget.deadline(), http_body::read(body, max_bytes)).await {
+    let reading = http_body::read(body, max_bytes, &context.body_memory);
+    match tokio::time::timeout_at(time_budget.deadline(), reading).await {
         Ok(read) => read.map_err(|failure| failure.kind),
         Err(_) => Err(ErrorKind::BodyTooSlow),
     }
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -8,6 +8,8 @@
 use crate::derives::value_types;
 use crate::policy::budget::RetryBudget;
 
+/// Part of the memory of the process that the bodies of requests may hold.
+const BODY_MEMORY_DIVISOR: usize = 4;
 /// Part of the published ratio of extra attempts that is used, as a safety margin: requests that reach no VM count in
 /// the published ratio only.
 const RATIO_MARGIN: f64 = 0.85;
@@ -51,6 +53,8 @@
         /// Time between SIGTERM and SIGKILL.
         pub grace: Duration,
         pub location: Location,
+        /// Memory that the process may use.
+        pub memory_bytes: usize,
         pub metrics_address: Option<SocketAddr>,
         /// Address for links from other VMs; none disables links.
         pub peer_address: Option<SocketAddr>,
@@ -92,12 +96,18 @@
             ("addresses", self.addresses() != new.addresses()),
             ("config_apply", self.config_apply != new.config_apply),
             ("extra", self.extra_attempts != new.extra_attempts),
+            ("memory", self.memory_bytes != new.memory_bytes),
             ("place", self.location != new.location),
             ("vm_id", self.vm_id != new.vm_id),
         ];
         changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
+    /// Returns the memory that the bodies of requests may hold together.
+    pub fn body_memory_bytes(&self) -> usize {
+        self.memory_bytes / BODY_MEMORY_DIVISOR
+    }
+
     /// Returns all listen addresses of this VM.
     fn addresses(&self) -> [Option<SocketAddr>; 4] {
         [
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -44,6 +44,7 @@
     pub outdated_changes: Counter,
     pub partial_answers: Counter,
     pub probes: Counter,
+    pub refused_bodies: Counter,
     pub relay_failures: Counter,
     pub relayed_searches: Counter,
     pub request_seconds: Histogram,
@@ -131,6 +132,10 @@
             ),
             partial_answers: counter("partial_answers", "Searches answered without some shards"),
             probes: counter("probes", "Health probes sent"),
+            refused_bodies: counter(
+                "refused_bodies",
+                "Bodies refused because those of all requests hold too much memory",
+            ),
             relay_failures: counter(
                 "relay_failures",
                 "Searches that no relay accepted, or that a relay lost",
--- /dev/null
+++ b/crates/hawthornstand/src/process/body_memory.rs
@@ -0,0 +1,249 @@
+//! Limits the memory that the bodies of requests hold together.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::locks::lock;
+
+/// Bytes of each body that do not count: short bodies are accepted whatever the others hold.
+pub const UNCOUNTED_BYTES: usize = 4096;
+/// Bytes that a body has to receive until it counts as moving again, so that single bytes do not keep it.
+const PROGRESS_BYTES: usize = 4096;
+
+/// Number of a body in [`BodyMemory`].
+type BodyId = u64;
+
+/// The body was refused because those of all requests hold too much memory.
+#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
+#[displaydoc("the bodies of all requests hold too much memory")]
+pub struct BodyRefused;
+
+/// Memory of the bodies that are being received or belong to a running request.
+///
+/// If it is used up, the body that has not moved for the longest time is refused.
+pub struct BodyMemory {
+    bodies: Mutex<Bodies>,
+    limit_bytes: usize,
+    refused: Counter,
+}
+
+#[derive(Default)]
+struct Bodies {
+    held_bytes: usize,
+    next_id: BodyId,
+    /// Sorted by id.
+    receiving: Vec<PartialBody>,
+}
+
+/// A body that is not complete.
+struct PartialBody {
+    buffer: Vec<u8>,
+    id: BodyId,
+    moved_at: Instant,
+    received_since_moved_bytes: usize,
+    refused: Arc<Notify>,
+}
+
+/// A body that is being received; its memory is released when this is dropped.
+pub struct ReceivingBody<'a> {
+    /// Holds a body that does not count yet.
+    first: Vec<u8>,
+    max_bytes: usize,
+    memory: &'a Arc<BodyMemory>,
+    partial: Option<(BodyId, Arc<Notify>)>,
+}
+
+/// A complete body, whose memory is released with the last reference to its bytes.
+struct HeldBody {
+    bytes: Bytes,
+    held_bytes: usize,
+    memory: Arc<BodyMemory>,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        lock(&self.memory.bodies).held_bytes -= self.held_bytes;
+    }
+}
+
+impl BodyMemory {
+    /// Creates the memory for bodies that hold `limit_bytes` together; `refused` counts the bodies that are refused.
+    pub fn new(limit_bytes: usize, refused: Counter) -> Self {
+        Self { bodies: Mutex::default(), limit_bytes, refused }
+    }
+
+    /// Returns the bytes that are held.
+    pub fn held_bytes(&self) -> usize {
+        lock(&self.bodies).held_bytes
+    }
+
+    /// Begins to receive a body of at most `max_bytes`.
+    pub fn receive(self: &Arc<Self>, max_bytes: usize) -> ReceivingBody<'_> {
+        ReceivingBody { first: Vec::new(), max_bytes, memory: self, partial: None }
+    }
+
+    /// Holds a body that is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room for it.
+    pub fn hold(self: &Arc<Self>, bytes: Bytes) -> Result<Bytes, BodyRefused> {
+        let held_bytes = bytes.len();
+        if held_bytes <= UNCOUNTED_BYTES {
+            return Ok(bytes);
+        }
+        self.reserve(&mut lock(&self.bodies), None, held_bytes)?;
+        Ok(Bytes::from_owner(HeldBody { bytes, held_bytes, memory: Arc::clone(self) }))
+    }
+
+    /// Adds bytes for the body `id`, or for a new one; refuses others if there is no room.
+    fn reserve(
+        &self,
+        bodies: &mut Bodies,
+        id: Option<BodyId>,
+        added_bytes: usize,
+    ) -> Result<(), BodyRefused> {
+        let refusable_bytes: usize = bodies
+            .receiving
+            .iter()
+            .filter(|body| Some(body.id) != id)
+            .map(|body| body.buffer.capacity())
+            .sum();
+        let own_bytes = id.and_then(|id| bodies.get(id)).map_or(0, |body| body.buffer.capacity());
+        let kept_bytes = bodies.held_bytes - refusable_bytes;
+        // A body that is alone is received whatever the limit is.
+        if kept_bytes > own_bytes && kept_bytes + added_bytes > self.limit_bytes {
+            self.refused.inc();
+            return Err(BodyRefused);
+        }
+        while bodies.held_bytes + added_bytes > self.limit_bytes {
+            let others =
+                bodies.receiving.iter().enumerate().filter(|(_, body)| Some(body.id) != id);
+            let Some((index, _)) = others.min_by_key(|(_, body)| body.moved_at) else { break };
+            let body = bodies.receiving.remove(index);
+            bodies.held_bytes -= body.buffer.capacity();
+            body.refused.notify_one();
+            self.refused.inc();
+        }
+        bodies.held_bytes += added_bytes;
+        Ok(())
+    }
+}
+
+impl Bodies {
+    /// Returns a body; none if it was refused.
+    fn get(&self, id: BodyId) -> Option<&PartialBody> {
+        let index = self.receiving.binary_search_by_key(&id, |body| body.id).ok()?;
+        self.receiving.get(index)
+    }
+
+    /// Returns a body; none if it was refused.
+    fn get_mut(&mut self, id: BodyId) -> Option<&mut PartialBody> {
+        let index = self.receiving.binary_search_by_key(&id, |body| body.id).ok()?;
+        self.receiving.get_mut(index)
+    }
+
+    /// Removes a body; none if it was refused. Its bytes still count.
+    fn remove(&mut self, id: BodyId) -> Option<PartialBody> {
+        let index = self.receiving.binary_search_by_key(&id, |body| body.id).ok()?;
+        Some(self.receiving.remove(index))
+    }
+}
+
+impl ReceivingBody<'_> {
+    /// Adds received bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body was refused.
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), BodyRefused> {
+        if self.partial.is_none() && self.first.len() + bytes.len() <= UNCOUNTED_BYTES {
+            self.first.extend_from_slice(bytes);
+            return Ok(());
+        }
+        let memory = self.memory;
+        let mut bodies = lock(&memory.bodies);
+        let first = std::mem::take(&mut self.first);
+        let id = match &self.partial {
+            Some((id, _)) => *id,
+            None => self.begin_counting(&mut bodies),
+        };
+        let body = bodies.get(id).ok_or(BodyRefused)?;
+        let capacity = body.buffer.capacity();
+        let length = body.buffer.len() + first.len() + bytes.len();
+        let is_full = length > capacity;
+        let wanted = (capacity * 2).min(self.max_bytes).max(length);
+        if is_full {
+            memory.reserve(&mut bodies, Some(id), wanted - capacity)?;
+        }
+        let body = bodies.get_mut(id).ok_or(BodyRefused)?;
+        if is_full {
+            body.buffer.reserve_exact(wanted - body.buffer.len());
+        }
+        body.buffer.extend_from_slice(&first);
+        body.buffer.extend_from_slice(bytes);
+        body.received_since_moved_bytes += bytes.len();
+        if body.received_since_moved_bytes >= PROGRESS_BYTES {
+            (body.moved_at, body.received_since_moved_bytes) = (Instant::now(), 0);
+        }
+        Ok(())
+    }
+
+    /// Adds the body to those that count, without bytes.
+    fn begin_counting(&mut self, bodies: &mut Bodies) -> BodyId {
+        let (id, refused) = (bodies.next_id, Arc::new(Notify::new()));
+        bodies.next_id += 1;
+        bodies.receiving.push(PartialBody {
+            buffer: Vec::new(),
+            id,
+            moved_at: Instant::now(),
+            received_since_moved_bytes: 0,
+            refused: Arc::clone(&refused),
+        });
+        self.partial = Some((id, refused));
+        id
+    }
+
+    /// Waits until the body is refused.
+    pub async fn refused(&self) {
+        match &self.partial {
+            Some((_, refused)) => refused.notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Returns the complete body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body was refused.
+    pub fn finish(mut self) -> Result<Bytes, BodyRefused> {
+        let Some((id, _)) = self.partial.take() else {
+            return Ok(std::mem::take(&mut self.first).into());
+        };
+        let body = lock(&self.memory.bodies).remove(id).ok_or(BodyRefused)?;
+        let held_bytes = body.buffer.capacity();
+        let memory = Arc::clone(self.memory);
+        Ok(Bytes::from_owner(HeldBody { bytes: body.buffer.into(), held_bytes, memory }))
+    }
+}
+
+impl Drop for ReceivingBody<'_> {
+    fn drop(&mut self) {
+        let Some((id, _)) = self.partial.take() else { return };
+        let mut bodies = lock(&self.memory.bodies);
+        if let Some(body) = bodies.remove(id) {
+            bodies.held_bytes -= body.buffer.capacity();
+        }
+    }
+}
--- a/crates/hawthornstand/src/process/context.rs
+++ b/crates/hawthornstand/src/process/context.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::Instant;
 
 use crate::backends::backend_client::{BackendClient, HttpBackendClient};
@@ -22,6 +23,7 @@
 use crate::policy::quarantine::Quarantine;
 use crate::policy::replica_selector::{self, ReplicaSelector};
 use crate::policy::service_state::ServiceStates;
+use crate::process::body_memory::BodyMemory;
 use crate::process::clock::{Clock, SystemClock};
 use crate::process::metrics::Metrics;
 use crate::process::timer::TimerService;
@@ -39,6 +41,7 @@
 pub struct Context {
     pub backend: Box<dyn BackendClient>,
     pub block_versions: BlockVersions,
+    pub body_memory: Arc<BodyMemory>,
     pub clock: Arc<dyn Clock>,
     pub config: ConfigStore,
     pub hedge: Box<dyn HedgePolicy>,
@@ -93,6 +96,7 @@
         Self {
             backend,
             block_versions: BlockVersions::default(),
+            body_memory: Arc::new(BodyMemory::new(usize::MAX, Counter::default())),
             clock,
             config: ConfigStore::default(),
             hedge: hedge::from_settings(&settings.hedge),
--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -1,22 +1,40 @@
 //! Reads the bodies of callers' requests.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::error::{ErrorKind, Failure};
+use crate::process::body_memory::{BodyMemory, BodyRefused};
 
-/// Reads a whole body of at most `max_bytes` bytes into one buffer.
-pub async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
+/// Reads a whole body of at most `max_bytes` bytes into one buffer, unless it is refused for lack of memory.
+pub async fn read(
+    body: Incoming,
+    max_bytes: usize,
+    memory: &Arc<BodyMemory>,
+) -> Result<Bytes, Failure> {
+    let expected_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
+    let mut receiving = memory.receive(max_bytes.min(expected_bytes as usize));
     let mut body = Limited::new(body, max_bytes);
-    let mut received = Vec::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = receiving.refused() => return Err(refused(BodyRefused)),
+        };
+        let Some(frame) = frame else { return receiving.finish().map_err(refused) };
         let frame = frame.map_err(|error| failure(&*error, max_bytes))?;
         // A frame refers to the buffer that it was read into, however short it is.
         let Ok(data) = frame.into_data() else { continue };
-        received.extend_from_slice(&data);
+        receiving.append(&data).map_err(refused)?;
     }
-    Ok(received.into())
+}
+
+/// Returns the failure to report for a body that was refused.
+fn refused(error: BodyRefused) -> Failure {
+    Failure::new(ErrorKind::TooManyBodies, error.to_string())
 }
 
 /// Returns the failure to report for a body that cannot be read.
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 #[cfg(feature = "own-interface")]
 pub mod admin_http;
+pub mod body_memory;
 #[cfg(feature = "own-interface")]
 pub mod cli;
 pub mod clock;
