Accept HTTP/1.1 only on the users' platform

Callers saw: one client that speaks HTTP/2 unasked takes as much memory as many others: up to 200 requests on each connection, each with a head and a body of its own, past the limits on heads, idle connections and one request at a time.

Cause: the server of all listeners accepts either version by the first bytes. The platform's pages name HTTP/1.1 for callers, readiness checks and metrics; only the product's own interface offers HTTP/2 (docs/CALLERS.md).

HttpLimits says whether a listener accepts HTTP/2; only the callers' listener of hawthornstandd does.

--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -47,6 +47,7 @@
 const STATUS_PATH: &str = "/status";
 /// Limits that apply until a configuration is active.
 const DEFAULT_LIMITS: HttpLimits = HttpLimits {
+    accepts_http2: false,
     header_timeout: Duration::from_secs(5),
     idle_timeout: Duration::from_secs(15),
     max_header_bytes: 16 * 1024,
@@ -74,6 +75,7 @@
             header_timeout: active_config.limits.header_timeout,
             idle_timeout: active_config.limits.idle_timeout,
             max_header_bytes: active_config.limits.max_header_bytes,
+            ..DEFAULT_LIMITS
         })
     }
 
--- a/crates/hawthornstand/src/process/daemon.rs
+++ b/crates/hawthornstand/src/process/daemon.rs
@@ -53,7 +53,8 @@
     tokio::spawn(link::serve(Arc::clone(&context), peers));
     tokio::spawn(overlay::run(Arc::clone(&context)));
     tokio::spawn(startup::run(Arc::clone(&context)));
-    let serving = tokio::spawn(http_server::serve(callers, stopped, HttpLimits::default, {
+    let caller_limits = || HttpLimits { accepts_http2: true, ..HttpLimits::default() };
+    let serving = tokio::spawn(http_server::serve(callers, stopped, caller_limits, {
         let context = Arc::clone(&context);
         move |request| caller_http::handle(Arc::clone(&context), request)
     }));
--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -29,6 +29,8 @@
 /// Limits on what a client may send and how long it may take.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
+    /// Whether a client may use HTTP/2 besides HTTP/1.1.
+    pub accepts_http2: bool,
     /// Time allowed for the head of a request after its first byte.
     pub header_timeout: Duration,
     /// Time after which a connection without a running request is closed.
@@ -40,6 +42,7 @@
 impl Default for HttpLimits {
     fn default() -> Self {
         Self {
+            accepts_http2: false,
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(10),
             max_header_bytes: 64 * 1024,
@@ -104,6 +107,9 @@
             // hyper starts this timer when the connection becomes idle.
             .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
             .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+        if !limits.accepts_http2 {
+            builder = builder.http1_only();
+        }
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
