Limit the connections of callers, and close the one that has waited the longest

Callers saw: connections that send nothing take every descriptor of a VM for as long as they may stay idle, and nobody else is answered. Heads that do not end add up to more memory than the VM has, 38 kB for each of 15 kB.

Cause: every connection was accepted, until the process had no descriptors left for callers, backend servers and the store.

A VM holds as many connections of callers as half of its descriptors, or a quarter of its memory at 32 KiB each, allow, whichever is less. Beyond that, the one closes that has waited for its client for the longest time: for a request, or for more of one. A new caller is the last to be closed, and one whose request runs is not. A caller that loses an idle connection sees what the idle timeout does, and connects again; a body that was not complete was not passed on.

limits.fdLimit is the platform's own setting, 4100 if it says none; the limit of the system applies if it is less.

--- a/crates/hawthornstand/src/callers/caller_http.rs
+++ b/crates/hawthornstand/src/callers/caller_http.rs
@@ -107,7 +107,8 @@
     request: Request<Incoming>,
 ) -> Result<T, Failure> {
     let limit = context.settings.admission.max_body_bytes as usize;
-    let bytes = http_body::read(request.into_body(), limit, &context.body_memory).await?;
+    let (parts, body) = request.into_parts();
+    let bytes = http_body::read(body, limit, &context.body_memory, parts.extensions.get()).await?;
     serde_json::from_slice(&bytes).map_err(|e| Failure::new(ErrorKind::BadBody, e.to_string()))
 }
 
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rustix::process::{Resource, getrlimit};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -26,6 +27,7 @@
 use crate::gateway::telemetry::Telemetry;
 use crate::process::body_memory::BodyMemory;
 use crate::process::clock::SystemClock;
+use crate::process::connection_table::ConnectionTable;
 use crate::process::http_server::{self, HttpLimits};
 use crate::process::log_limit::LogLosses;
 use crate::process::shutdown::ShutdownOutcome;
@@ -109,6 +111,7 @@
         tokio::spawn(peer_link::run(Arc::clone(&peers), active_settings.clone()));
         read_policy = peers;
     }
+    let evicted_connections = telemetry.evicted_connections.clone();
     let reading =
         store_watch::run(settings.config_apply, Arc::clone(&state), store, read_policy, telemetry);
     tokio::spawn(reading);
@@ -116,16 +119,24 @@
         clock: Arc::new(SystemClock),
         context,
         load: Arc::clone(&load),
+        max_connections: settings.max_caller_connections(open_file_limit()),
         relays,
         state,
     });
     if let Some(address) = settings.metrics_address {
         serve_metrics(address, Arc::clone(&request_handler), running.clone()).await;
     }
-    tokio::spawn(http_server::serve(readiness_listener, running, HttpLimits::default, {
-        let request_handler = Arc::clone(&request_handler);
-        move |request| request_handler::readiness(Arc::clone(&request_handler), request)
-    }));
+    tokio::spawn(http_server::serve(
+        readiness_listener,
+        running,
+        HttpLimits::default,
+        Arc::default(),
+        {
+            let request_handler = Arc::clone(&request_handler);
+            move |request| request_handler::readiness(Arc::clone(&request_handler), request)
+        },
+    ));
+    let caller_connections = Arc::new(ConnectionTable::new(evicted_connections));
     let serving = tokio::spawn(http_server::serve(
         caller_listener,
         stopped,
@@ -133,6 +144,7 @@
             let request_handler = Arc::clone(&request_handler);
             move || request_handler.limits()
         },
+        caller_connections,
         {
             let request_handler = Arc::clone(&request_handler);
             move |request| Arc::clone(&request_handler).handle(request)
@@ -161,6 +173,12 @@
     })
 }
 
+/// Returns how many files and sockets the system lets this process open.
+fn open_file_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
+}
+
 /// Serves metrics and the status; if the address is in use, the VM runs without them.
 async fn serve_metrics(
     address: SocketAddr,
@@ -175,7 +193,12 @@
             return;
         }
     };
-    tokio::spawn(http_server::serve(listener, running, HttpLimits::default, move |request| {
-        request_handler::metrics(Arc::clone(&request_handler), request)
-    }));
+    let handle = move |request| request_handler::metrics(Arc::clone(&request_handler), request);
+    tokio::spawn(http_server::serve(
+        listener,
+        running,
+        HttpLimits::default,
+        Arc::default(),
+        handle,
+    ));
 }
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::Extensions;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::Instant;
 
@@ -46,18 +47,17 @@
 /// Path of the status on the listener for metrics.
 const STATUS_PATH: &str = "/status";
 /// Limits that apply until a configuration is active.
-const DEFAULT_LIMITS: HttpLimits = HttpLimits {
-    accepts_http2: false,
-    header_timeout: Duration::from_secs(5),
-    idle_timeout: Duration::from_secs(15),
-    max_header_bytes: 16 * 1024,
-};
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
 /// Answers callers, readiness checks and requests for metrics.
 pub struct RequestHandler {
     pub clock: Arc<dyn Clock>,
     pub context: GatewayContext,
     pub load: Arc<RequestLoad>,
+    /// Limit on the open connections of callers.
+    pub max_connections: usize,
     /// None if this VM has no links to others.
     pub relays: Option<Arc<RelayLinks>>,
     pub state: Arc<PublishedState>,
@@ -71,11 +71,18 @@
 
     /// Returns the limits for a new connection.
     pub fn limits(&self) -> HttpLimits {
-        self.state.active_config().map_or(DEFAULT_LIMITS, |active_config| HttpLimits {
+        let limits = HttpLimits {
+            accepts_http2: false,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            max_connections: self.max_connections,
+            max_header_bytes: DEFAULT_MAX_HEADER_BYTES,
+        };
+        self.state.active_config().map_or(limits, |active_config| HttpLimits {
             header_timeout: active_config.limits.header_timeout,
             idle_timeout: active_config.limits.idle_timeout,
             max_header_bytes: active_config.limits.max_header_bytes,
-            ..DEFAULT_LIMITS
+            ..limits
         })
     }
 
@@ -132,7 +139,7 @@
         let max_body_bytes = active_config.limits.max_body_bytes;
         let body = tokio::select! {
             biased;
-            body = read_body(body, max_body_bytes, &self.context, &time_budget) => {
+            body = self.read_body(body, max_body_bytes, &parts.extensions, &time_budget) => {
                 body.map_err(|kind| refuse(kind, "body not read"))?
             }
             () = self.load.must_answer() => {
@@ -172,6 +179,25 @@
         result.map_err(|failure| FailedRequest::new(&caller.request_id, failure))
     }
 
+    /// Reads the whole body of a request within its time budget.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        extensions: &Extensions,
+        time_budget: &TimeBudget,
+    ) -> Result<Bytes, ErrorKind> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let memory = &self.context.body_memory;
+        let reading = http_body::read(body, max_bytes, memory, extensions.get());
+        match tokio::time::timeout_at(time_budget.deadline(), reading).await {
+            Ok(read) => read.map_err(|failure| failure.kind),
+            Err(_) => Err(ErrorKind::BodyTooSlow),
+        }
+    }
+
     /// Returns a time limit that ends before the callers of a VM that stops have to be answered.
     fn limit_by_stop(&self, limit: Duration) -> Duration {
         let Some(answer_by) = self.load.answer_by() else { return limit };
@@ -397,23 +423,6 @@
     Failure::new(ErrorKind::DeadlineExceeded, "this VM stops")
 }
 
-/// Reads the whole body of a request within its time budget.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    context: &GatewayContext,
-    time_budget: &TimeBudget,
-) -> Result<Bytes, ErrorKind> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let reading = http_body::read(body, max_bytes, &context.body_memory);
-    match tokio::time::timeout_at(time_budget.deadline(), reading).await {
-        Ok(read) => read.map_err(|failure| failure.kind),
-        Err(_) => Err(ErrorKind::BodyTooSlow),
-    }
-}
-
 /// Returns the response that holds the answer of a backend server.
 ///
 /// # Errors
--- a/crates/hawthornstand/src/gateway/settings.rs
+++ b/crates/hawthornstand/src/gateway/settings.rs
@@ -10,6 +10,13 @@
 
 /// Part of the memory of the process that the bodies of requests may hold.
 const BODY_MEMORY_DIVISOR: usize = 4;
+/// Part of the descriptors that the connections of callers may take; the others are for backend servers, other VMs and the
+/// store.
+const CALLER_DESCRIPTORS_DIVISOR: usize = 2;
+/// Part of the memory of the process that the connections of callers may hold.
+const CONNECTION_MEMORY_DIVISOR: usize = 4;
+/// Memory of a connection: the head of a request as it is received, a short body, and bytes that were not read.
+const CONNECTION_BYTES: usize = 32 * 1024;
 /// Part of the published ratio of extra attempts that is used, as a safety margin: requests that reach no VM count in
 /// the published ratio only.
 const RATIO_MARGIN: f64 = 0.85;
@@ -53,6 +60,8 @@
         /// Time between SIGTERM and SIGKILL.
         pub grace: Duration,
         pub location: Location,
+        /// Descriptors that the process may open.
+        pub max_descriptors: usize,
         /// Memory that the process may use.
         pub memory_bytes: usize,
         pub metrics_address: Option<SocketAddr>,
@@ -96,6 +105,7 @@
             ("addresses", self.addresses() != new.addresses()),
             ("config_apply", self.config_apply != new.config_apply),
             ("extra", self.extra_attempts != new.extra_attempts),
+            ("descriptors", self.max_descriptors != new.max_descriptors),
             ("memory", self.memory_bytes != new.memory_bytes),
             ("place", self.location != new.location),
             ("vm_id", self.vm_id != new.vm_id),
@@ -108,6 +118,14 @@
         self.memory_bytes / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns the number of connections that callers may open together; `open_file_limit` is that of the process.
+    pub fn max_caller_connections(&self, open_file_limit: usize) -> usize {
+        let descriptors = self.max_descriptors.min(open_file_limit);
+        let by_descriptors = descriptors / CALLER_DESCRIPTORS_DIVISOR;
+        let by_memory = self.memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+        by_descriptors.min(by_memory).max(1)
+    }
+
     /// Returns all listen addresses of this VM.
     fn addresses(&self) -> [Option<SocketAddr>; 4] {
         [
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -32,6 +32,7 @@
     confirmation_age_ms: Gauge,
     pub crash_refusals: Counter,
     pub departures: Counter,
+    pub evicted_connections: Counter,
     pub handed_over: Counter,
     pub handover_failures: Counter,
     pub hedges: Counter,
@@ -99,6 +100,10 @@
                 "Requests refused because they crash backend servers",
             ),
             departures: counter("departures", "Callers that left before their answer"),
+            evicted_connections: counter(
+                "evicted_connections",
+                "Connections of callers that were closed to make room for others",
+            ),
             handed_over: counter(
                 "handed_over",
                 "Requests that another VM took because this one reaches too few backend servers",
--- a/crates/hawthornstand/src/process/body_memory.rs
+++ b/crates/hawthornstand/src/process/body_memory.rs
@@ -22,6 +22,13 @@
 #[displaydoc("the bodies of all requests hold too much memory")]
 pub struct BodyRefused;
 
+/// Whether a body has received enough to count as moving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    Moved,
+    TooLittle,
+}
+
 /// Memory of the bodies that are being received or belong to a running request.
 ///
 /// If it is used up, the body that has not moved for the longest time is refused.
@@ -166,10 +173,10 @@
     /// # Errors
     ///
     /// Returns an error if the body was refused.
-    pub fn append(&mut self, bytes: &[u8]) -> Result<(), BodyRefused> {
+    pub fn append(&mut self, bytes: &[u8]) -> Result<Progress, BodyRefused> {
         if self.partial.is_none() && self.first.len() + bytes.len() <= UNCOUNTED_BYTES {
             self.first.extend_from_slice(bytes);
-            return Ok(());
+            return Ok(Progress::TooLittle);
         }
         let memory = self.memory;
         let mut bodies = lock(&memory.bodies);
@@ -193,10 +200,11 @@
         body.buffer.extend_from_slice(&first);
         body.buffer.extend_from_slice(bytes);
         body.received_since_moved_bytes += bytes.len();
-        if body.received_since_moved_bytes >= PROGRESS_BYTES {
-            (body.moved_at, body.received_since_moved_bytes) = (Instant::now(), 0);
+        if body.received_since_moved_bytes < PROGRESS_BYTES {
+            return Ok(Progress::TooLittle);
         }
-        Ok(())
+        (body.moved_at, body.received_since_moved_bytes) = (Instant::now(), 0);
+        Ok(Progress::Moved)
     }
 
     /// Adds the body to those that count, without bytes.
--- /dev/null
+++ b/crates/hawthornstand/src/process/connection_activity.rs
@@ -0,0 +1,85 @@
+//! What happens on a caller's connection: whether a request runs, or how long the connection has waited for its client.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use hyper::Version;
+use tokio::time::Instant;
+
+use crate::locks::lock;
+
+/// Activity of one connection, shared by all that take part in serving it.
+#[derive(Clone)]
+pub struct ConnectionActivity(Arc<Activity>);
+
+struct Activity {
+    answered: AtomicU64,
+    heads_received: AtomicU64,
+    /// Whether received bytes may belong to no request, as HTTP/2 control frames do.
+    multiplexed: AtomicBool,
+    waiting_since: Mutex<Option<Instant>>,
+}
+
+impl Default for ConnectionActivity {
+    fn default() -> Self {
+        Self(Arc::new(Activity {
+            answered: AtomicU64::new(0),
+            heads_received: AtomicU64::new(0),
+            multiplexed: AtomicBool::new(false),
+            waiting_since: Mutex::new(Some(Instant::now())),
+        }))
+    }
+}
+
+impl ConnectionActivity {
+    /// Records that the head of a request is complete.
+    pub fn record_head(&self, version: Version) {
+        self.0.heads_received.fetch_add(1, Ordering::Relaxed);
+        self.0.multiplexed.store(version >= Version::HTTP_2, Ordering::Relaxed);
+        self.record_complete_request();
+    }
+
+    /// Records that a request has a body, or that more of the body has arrived.
+    pub fn record_partial_body(&self) {
+        if !self.is_multiplexed() {
+            *lock(&self.0.waiting_since) = Some(Instant::now());
+        }
+    }
+
+    /// Records that nothing of a request is missing.
+    pub fn record_complete_request(&self) {
+        *lock(&self.0.waiting_since) = None;
+    }
+
+    /// Records that a request was answered; the next bytes belong to another head.
+    pub fn record_response(&self) {
+        self.0.answered.fetch_add(1, Ordering::Relaxed);
+        if self.is_between_requests().is_some() {
+            *lock(&self.0.waiting_since) = Some(Instant::now());
+        }
+    }
+
+    /// Returns the index of the request head that comes next, or `None` while a request is running.
+    pub fn next_head(&self) -> Option<u64> {
+        if self.is_multiplexed() {
+            return None;
+        }
+        self.is_between_requests()
+    }
+
+    /// Returns since when the connection has waited for its client: for a head, or for more of a body. None while a
+    /// request runs.
+    pub fn waiting_since(&self) -> Option<Instant> {
+        *lock(&self.0.waiting_since)
+    }
+
+    /// Returns the number of received heads if as many requests were answered.
+    fn is_between_requests(&self) -> Option<u64> {
+        let received = self.0.heads_received.load(Ordering::Relaxed);
+        (received == self.0.answered.load(Ordering::Relaxed)).then_some(received)
+    }
+
+    fn is_multiplexed(&self) -> bool {
+        self.0.multiplexed.load(Ordering::Relaxed)
+    }
+}
--- a/crates/hawthornstand/src/process/daemon.rs
+++ b/crates/hawthornstand/src/process/daemon.rs
@@ -46,18 +46,25 @@
     tokio::spawn(ejection::run(Arc::clone(&context)));
     tokio::spawn(gossip::run(Arc::clone(&context)));
     tokio::spawn(health_prober::run(Arc::clone(&context)));
-    tokio::spawn(http_server::serve(admin, stopped.clone(), HttpLimits::default, {
-        let context = Arc::clone(&context);
-        move |request| admin_http::handle(Arc::clone(&context), request)
-    }));
+    tokio::spawn(http_server::serve(
+        admin,
+        stopped.clone(),
+        HttpLimits::default,
+        Arc::default(),
+        {
+            let context = Arc::clone(&context);
+            move |request| admin_http::handle(Arc::clone(&context), request)
+        },
+    ));
     tokio::spawn(link::serve(Arc::clone(&context), peers));
     tokio::spawn(overlay::run(Arc::clone(&context)));
     tokio::spawn(startup::run(Arc::clone(&context)));
     let caller_limits = || HttpLimits { accepts_http2: true, ..HttpLimits::default() };
-    let serving = tokio::spawn(http_server::serve(callers, stopped, caller_limits, {
-        let context = Arc::clone(&context);
-        move |request| caller_http::handle(Arc::clone(&context), request)
-    }));
+    let serving =
+        tokio::spawn(http_server::serve(callers, stopped, caller_limits, Arc::default(), {
+            let context = Arc::clone(&context);
+            move |request| caller_http::handle(Arc::clone(&context), request)
+        }));
     log::info!("VM {} started, boot id {:016x}", context.identity.vm_id, context.identity.boot_id);
 
     next_signal(&mut terminate, &mut interrupt).await;
--- a/crates/hawthornstand/src/process/head_timeout.rs
+++ b/crates/hawthornstand/src/process/head_timeout.rs
@@ -4,45 +4,13 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::Version;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
-/// Counts the requests of one connection: complete heads and sent responses.
-#[derive(Clone, Default)]
-pub struct RequestCounter {
-    answered: Arc<AtomicU64>,
-    heads_received: Arc<AtomicU64>,
-    /// Whether received bytes may belong to no request, as HTTP/2 control frames do.
-    multiplexed: Arc<AtomicBool>,
-}
-
-impl RequestCounter {
-    /// Records that the head of a request is complete.
-    pub fn record_head(&self, version: Version) {
-        self.heads_received.fetch_add(1, Ordering::Relaxed);
-        self.multiplexed.store(version >= Version::HTTP_2, Ordering::Relaxed);
-    }
-
-    /// Records that a request was answered; the next bytes belong to another head.
-    pub fn record_response(&self) {
-        self.answered.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Returns the index of the request head that comes next, or `None` while a request is running.
-    fn next_head(&self) -> Option<u64> {
-        if self.multiplexed.load(Ordering::Relaxed) {
-            return None;
-        }
-        let received = self.heads_received.load(Ordering::Relaxed);
-        (received == self.answered.load(Ordering::Relaxed)).then_some(received)
-    }
-}
+use crate::process::connection_activity::ConnectionActivity;
 
 /// A request head of which the first bytes have arrived.
 struct PartialHead {
@@ -52,16 +20,16 @@
 
 /// A connection that limits how long each request head may take to arrive.
 pub struct HeadTimeout<T> {
+    activity: ConnectionActivity,
     head: Option<PartialHead>,
     inner: T,
-    requests: RequestCounter,
     timeout: Duration,
 }
 
 impl<T> HeadTimeout<T> {
-    /// Wraps a connection; the server must record each of its requests in `requests`.
-    pub fn new(inner: T, requests: RequestCounter, timeout: Duration) -> Self {
-        Self { head: None, inner, requests, timeout }
+    /// Wraps a connection; the server must record its requests in `activity`.
+    pub fn new(inner: T, activity: ConnectionActivity, timeout: Duration) -> Self {
+        Self { activity, head: None, inner, timeout }
     }
 }
 
@@ -74,7 +42,7 @@
         let this = &mut *self;
         let filled = buffer.filled().len();
         let read = Pin::new(&mut this.inner).poll_read(context, buffer);
-        let next_head = this.requests.next_head();
+        let next_head = this.activity.next_head();
         this.head = this.head.take().filter(|head| Some(head.index) == next_head);
         if let Some(index) = next_head
             && this.head.is_none()
--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -7,13 +7,17 @@
 use hyper::body::{Body, Incoming};
 
 use crate::error::{ErrorKind, Failure};
-use crate::process::body_memory::{BodyMemory, BodyRefused};
+use crate::process::body_memory::{BodyMemory, BodyRefused, Progress};
+use crate::process::connection_activity::ConnectionActivity;
 
 /// Reads a whole body of at most `max_bytes` bytes into one buffer, unless it is refused for lack of memory.
+///
+/// `activity` is that of the connection, from the extensions of the request.
 pub async fn read(
     body: Incoming,
     max_bytes: usize,
     memory: &Arc<BodyMemory>,
+    activity: Option<&ConnectionActivity>,
 ) -> Result<Bytes, Failure> {
     let expected_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
     let mut receiving = memory.receive(max_bytes.min(expected_bytes as usize));
@@ -24,11 +28,16 @@
             frame = body.frame() => frame,
             () = receiving.refused() => return Err(refused(BodyRefused)),
         };
-        let Some(frame) = frame else { return receiving.finish().map_err(refused) };
+        let Some(frame) = frame else {
+            activity.inspect(|activity| activity.record_complete_request());
+            return receiving.finish().map_err(refused);
+        };
         let frame = frame.map_err(|error| failure(&*error, max_bytes))?;
         // A frame refers to the buffer that it was read into, however short it is.
         let Ok(data) = frame.into_data() else { continue };
-        receiving.append(&data).map_err(refused)?;
+        if receiving.append(&data).map_err(refused)? == Progress::Moved {
+            activity.inspect(|activity| activity.record_partial_body());
+        }
     }
 }
 
--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::{Abortable, Aborted};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -16,7 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::process::head_timeout::{HeadTimeout, RequestCounter};
+use crate::process::connection_activity::ConnectionActivity;
+use crate::process::connection_table::ConnectionTable;
+use crate::process::head_timeout::HeadTimeout;
 use crate::process::receive_buffer;
 use crate::process::timer::sleep_until_or_forever;
 
@@ -35,6 +39,8 @@
     pub header_timeout: Duration,
     /// Time after which a connection without a running request is closed.
     pub idle_timeout: Duration,
+    /// Number of open connections beyond which others are closed.
+    pub max_connections: usize,
     /// Largest request head accepted, in bytes.
     pub max_header_bytes: usize,
 }
@@ -45,6 +51,7 @@
             accepts_http2: false,
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(10),
+            max_connections: 1024,
             max_header_bytes: 64 * 1024,
         }
     }
@@ -57,6 +64,7 @@
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
     limits: impl Fn() -> HttpLimits + Send,
+    connections: Arc<ConnectionTable>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -86,20 +94,25 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY: {e}");
         }
+        let limits = limits();
+        connections.make_room(limits.max_connections).await;
         let handle = handle.clone();
-        let requests = RequestCounter::default();
-        let counter = requests.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            counter.record_head(request.version());
-            let (response, counter) = (handle(request), counter.clone());
+        let activity = ConnectionActivity::default();
+        let (guard, closing) = connections.open(activity.clone());
+        let stream = HeadTimeout::new(stream, activity.clone(), limits.header_timeout);
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            activity.record_head(request.version());
+            if !request.body().is_end_stream() {
+                activity.record_partial_body();
+                request.extensions_mut().insert(activity.clone());
+            }
+            let (response, activity) = (handle(request), activity.clone());
             async move {
                 let response = response.await;
-                counter.record_response();
+                activity.record_response();
                 Ok::<_, Infallible>(response)
             }
         });
-        let limits = limits();
-        let stream = HeadTimeout::new(stream, requests, limits.header_timeout);
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
             .http1()
@@ -113,8 +126,11 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!("connection closed with an error: {e}");
+            let _guard = guard;
+            match Abortable::new(connection, closing).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => log::debug!("connection closed with an error: {e}"),
+                Err(Aborted) => log::debug!("connection closed to make room for another"),
             }
         });
     }
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -6,6 +6,8 @@
 #[cfg(feature = "own-interface")]
 pub mod cli;
 pub mod clock;
+pub mod connection_activity;
+pub mod connection_table;
 #[cfg(feature = "own-interface")]
 pub mod context;
 #[cfg(feature = "own-interface")]
--- a/crates/hawthornstand/tests/contract_caller.rs
+++ b/crates/hawthornstand/tests/contract_caller.rs
@@ -24,7 +24,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address").to_string();
     let (_stop, stopped) = watch::channel(false);
-    tokio::spawn(http_server::serve(listener, stopped, HttpLimits::default, {
+    tokio::spawn(http_server::serve(listener, stopped, HttpLimits::default, Arc::default(), {
         let context = Arc::clone(&context);
         move |request| caller_http::handle(Arc::clone(&context), request)
     }));
--- a/crates/hawthornstand/tests/graceful_shutdown.rs
+++ b/crates/hawthornstand/tests/graceful_shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -45,10 +46,13 @@
     let unaccepted: Vec<_> =
         (0..4).map(|_| send(listener.local_addr().expect("an address"))).collect();
     stop.send_replace(true);
-    let serving =
-        tokio::spawn(http_server::serve(listener, stopped, HttpLimits::default, |_| async {
-            Response::new(Full::new(Bytes::from_static(b"answered")))
-        }));
+    let serving = tokio::spawn(http_server::serve(
+        listener,
+        stopped,
+        HttpLimits::default,
+        Arc::default(),
+        |_| async { Response::new(Full::new(Bytes::from_static(b"answered"))) },
+    ));
     for stream in unaccepted {
         assert!(read_to_end(stream).await.ends_with("answered"));
     }
--- a/crates/hawthornstand/tests/head_timeout.rs
+++ b/crates/hawthornstand/tests/head_timeout.rs
@@ -4,7 +4,8 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use hawthornstand::process::head_timeout::{HeadTimeout, RequestCounter};
+use hawthornstand::process::connection_activity::ConnectionActivity;
+use hawthornstand::process::head_timeout::HeadTimeout;
 use hyper::Version;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::time::{Instant, sleep};
@@ -14,9 +15,9 @@
 const BYTE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Returns both ends of a connection, the near one with the timeout.
-fn connection(requests: &RequestCounter) -> (HeadTimeout<DuplexStream>, DuplexStream) {
+fn connection(activity: &ConnectionActivity) -> (HeadTimeout<DuplexStream>, DuplexStream) {
     let (near, far) = duplex(1024);
-    (HeadTimeout::new(near, requests.clone(), TIMEOUT), far)
+    (HeadTimeout::new(near, activity.clone(), TIMEOUT), far)
 }
 
 /// Sends one byte per interval, then keeps the connection open.
@@ -48,21 +49,21 @@
 
 #[tokio::test(start_paused = true)]
 async fn head_sent_byte_by_byte_times_out() {
-    let (mut near, far) = connection(&RequestCounter::default());
+    let (mut near, far) = connection(&ConnectionActivity::default());
     send_slowly(far, 60);
     assert_eq!(read_until_error(&mut near).await, (ErrorKind::TimedOut, TIMEOUT));
 }
 
 #[tokio::test(start_paused = true)]
 async fn incomplete_head_times_out() {
-    let (mut near, far) = connection(&RequestCounter::default());
+    let (mut near, far) = connection(&ConnectionActivity::default());
     send_slowly(far, 1);
     assert_eq!(read_until_error(&mut near).await, (ErrorKind::TimedOut, TIMEOUT));
 }
 
 #[tokio::test(start_paused = true)]
 async fn idle_connection_does_not_time_out_before_its_first_byte() {
-    let (mut near, mut far) = connection(&RequestCounter::default());
+    let (mut near, mut far) = connection(&ConnectionActivity::default());
     let read = tokio::spawn(async move { read_until_error(&mut near).await.0 });
     sleep(TIMEOUT * 10).await;
     assert!(!read.is_finished());
@@ -72,14 +73,14 @@
 
 #[tokio::test(start_paused = true)]
 async fn body_and_answer_may_take_longer_than_a_head() {
-    let requests = RequestCounter::default();
-    let (mut near, far) = connection(&requests);
-    requests.record_head(Version::HTTP_11);
+    let activity = ConnectionActivity::default();
+    let (mut near, far) = connection(&activity);
+    activity.record_head(Version::HTTP_11);
     send_slowly(far, 30);
     let mut body = [0; 30];
     near.read_exact(&mut body).await.expect("a body");
     // The next head has a timeout of its own.
-    requests.record_response();
+    activity.record_response();
     let next = Instant::now();
     assert_eq!(read_until_error(&mut near).await.0, ErrorKind::UnexpectedEof);
     assert!(next.elapsed() > TIMEOUT);
@@ -87,23 +88,23 @@
 
 #[tokio::test(start_paused = true)]
 async fn timeout_applies_to_the_second_head_on_a_connection() {
-    let requests = RequestCounter::default();
-    let (mut near, mut far) = connection(&requests);
+    let activity = ConnectionActivity::default();
+    let (mut near, mut far) = connection(&activity);
     far.write_all(b"x").await.expect("an open connection");
     near.read_u8().await.expect("a head");
-    requests.record_head(Version::HTTP_11);
+    activity.record_head(Version::HTTP_11);
     sleep(TIMEOUT * 2).await;
-    requests.record_response();
+    activity.record_response();
     send_slowly(far, 60);
     assert_eq!(read_until_error(&mut near).await, (ErrorKind::TimedOut, TIMEOUT));
 }
 
 #[tokio::test(start_paused = true)]
-async fn http_2_frames_between_requests_start_no_timeout() {
-    let requests = RequestCounter::default();
-    let (mut near, far) = connection(&requests);
-    requests.record_head(Version::HTTP_2);
-    requests.record_response();
+async fn http_2_frames_between_activity_start_no_timeout() {
+    let activity = ConnectionActivity::default();
+    let (mut near, far) = connection(&activity);
+    activity.record_head(Version::HTTP_2);
+    activity.record_response();
     send_slowly(far, 30);
     assert_eq!(read_until_error(&mut near).await.0, ErrorKind::UnexpectedEof);
 }
--- a/crates/hawthornstand/tests/support/gateway.rs
+++ b/crates/hawthornstand/tests/support/gateway.rs
@@ -43,6 +43,7 @@
         },
         grace: Duration::from_secs(6),
         location: Location { failure_domain: "a".to_string(), region: "east".to_string(), regions },
+        max_descriptors: 4100,
         memory_bytes: 260_000_000,
         metrics_address: None,
         peer_address: None,
