Read on after a refusal while the caller still sends

Callers saw: whoever is refused while sending a body, with 413, 408 or 503, gets a reset. The answer that says whether and when to come back may be lost with it, and the caller has to take the connection for broken.

Cause: the connection was closed with unread bytes, which resets it (RFC 9112, 9.6).

Such an answer also says "Connection: close".

--- a/crates/hawthornstand/src/process/connection_activity.rs
+++ b/crates/hawthornstand/src/process/connection_activity.rs
@@ -17,45 +17,71 @@
     heads_received: AtomicU64,
     /// Whether received bytes may belong to no request, as HTTP/2 control frames do.
     multiplexed: AtomicBool,
-    waiting_since: Mutex<Option<Instant>>,
+    receipt: Mutex<Receipt>,
+}
+
+/// What was received of the last request.
+struct Receipt {
+    received: Received,
+    waiting_since: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Received {
+    Nothing,
+    PartOfHead,
+    /// The body was not read so far.
+    Head,
+    PartOfBody,
+    Everything,
 }
 
 impl Default for ConnectionActivity {
     fn default() -> Self {
+        let receipt = Receipt { received: Received::Nothing, waiting_since: Some(Instant::now()) };
         Self(Arc::new(Activity {
             answered: AtomicU64::new(0),
             heads_received: AtomicU64::new(0),
             multiplexed: AtomicBool::new(false),
-            waiting_since: Mutex::new(Some(Instant::now())),
+            receipt: Mutex::new(receipt),
         }))
     }
 }
 
 impl ConnectionActivity {
-    /// Records that the head of a request is complete.
-    pub fn record_head(&self, version: Version) {
+    /// Records that the head of a request has begun to arrive.
+    pub fn record_partial_head(&self) {
+        lock(&self.0.receipt).received = Received::PartOfHead;
+    }
+
+    /// Records that the head of a request is complete, and whether it has a body.
+    pub fn record_head(&self, version: Version, has_body: bool) {
         self.0.heads_received.fetch_add(1, Ordering::Relaxed);
         self.0.multiplexed.store(version >= Version::HTTP_2, Ordering::Relaxed);
-        self.record_complete_request();
+        if has_body && !self.is_multiplexed() {
+            self.record_progress(Received::Head);
+        } else {
+            self.record_complete_request();
+        }
     }
 
-    /// Records that a request has a body, or that more of the body has arrived.
+    /// Records that the body of a request is being read, or that more of it has arrived.
     pub fn record_partial_body(&self) {
         if !self.is_multiplexed() {
-            *lock(&self.0.waiting_since) = Some(Instant::now());
+            self.record_progress(Received::PartOfBody);
         }
     }
 
     /// Records that nothing of a request is missing.
     pub fn record_complete_request(&self) {
-        *lock(&self.0.waiting_since) = None;
+        *lock(&self.0.receipt) = Receipt { received: Received::Everything, waiting_since: None };
     }
 
     /// Records that a request was answered; the next bytes belong to another head.
     pub fn record_response(&self) {
         self.0.answered.fetch_add(1, Ordering::Relaxed);
         if self.is_between_requests().is_some() {
-            *lock(&self.0.waiting_since) = Some(Instant::now());
+            lock(&self.0.receipt).waiting_since = Some(Instant::now());
         }
     }
 
@@ -70,7 +96,22 @@
     /// Returns since when the connection has waited for its client: for a head, or for more of a body. None while a
     /// request runs.
     pub fn waiting_since(&self) -> Option<Instant> {
-        *lock(&self.0.waiting_since)
+        lock(&self.0.receipt).waiting_since
+    }
+
+    /// Returns whether a body was read in part only.
+    pub fn is_body_partial(&self) -> bool {
+        lock(&self.0.receipt).received == Received::PartOfBody
+    }
+
+    /// Returns whether the client may still be sending a request.
+    pub fn is_request_partial(&self) -> bool {
+        let received = lock(&self.0.receipt).received;
+        matches!(received, Received::PartOfHead | Received::Head | Received::PartOfBody)
+    }
+
+    fn record_progress(&self, received: Received) {
+        *lock(&self.0.receipt) = Receipt { received, waiting_since: Some(Instant::now()) };
     }
 
     /// Returns the number of received heads if as many requests were answered.
--- a/crates/hawthornstand/src/process/head_timeout.rs
+++ b/crates/hawthornstand/src/process/head_timeout.rs
@@ -50,6 +50,7 @@
         {
             let timeout = Box::pin(tokio::time::sleep(this.timeout));
             this.head = Some(PartialHead { index, timeout });
+            this.activity.record_partial_head();
         }
         if let Some(head) = &mut this.head
             && head.timeout.as_mut().poll(context).is_ready()
--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -19,6 +19,7 @@
     memory: &Arc<BodyMemory>,
     activity: Option<&ConnectionActivity>,
 ) -> Result<Bytes, Failure> {
+    activity.inspect(|activity| activity.record_partial_body());
     let expected_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
     let mut receiving = memory.receive(max_bytes.min(expected_bytes as usize));
     let mut body = Limited::new(body, max_bytes);
--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -9,6 +9,7 @@
 use futures_util::future::{Abortable, Aborted};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -21,6 +22,7 @@
 use crate::process::connection_activity::ConnectionActivity;
 use crate::process::connection_table::ConnectionTable;
 use crate::process::head_timeout::HeadTimeout;
+use crate::process::lingering_close::LingeringClose;
 use crate::process::receive_buffer;
 use crate::process::timer::sleep_until_or_forever;
 
@@ -99,17 +101,21 @@
         let handle = handle.clone();
         let activity = ConnectionActivity::default();
         let (guard, closing) = connections.open(activity.clone());
+        let stream = LingeringClose::new(stream, activity.clone(), stop.clone());
         let stream = HeadTimeout::new(stream, activity.clone(), limits.header_timeout);
         let service = service_fn(move |mut request: Request<Incoming>| {
-            activity.record_head(request.version());
-            if !request.body().is_end_stream() {
-                activity.record_partial_body();
+            let has_body = !request.body().is_end_stream();
+            activity.record_head(request.version(), has_body);
+            if has_body {
                 request.extensions_mut().insert(activity.clone());
             }
             let (response, activity) = (handle(request), activity.clone());
             async move {
-                let response = response.await;
+                let mut response = response.await;
                 activity.record_response();
+                if activity.is_body_partial() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
                 Ok::<_, Infallible>(response)
             }
         });
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod head_timeout;
 pub mod http_body;
 pub mod http_server;
+pub mod lingering_close;
 pub mod log_format;
 pub mod log_limit;
 pub mod metrics;
--- a/crates/hawthornstand/tests/connection_limit.rs
+++ b/crates/hawthornstand/tests/connection_limit.rs
@@ -52,9 +52,9 @@
     let table = Arc::new(ConnectionTable::new(evicted.clone()));
     let connections = open(&table, MAX_CONNECTIONS).await;
     let [running, idle, silent] = [0, 1, 2].map(|index| &connections[index].0);
-    running.record_head(Version::HTTP_11);
+    running.record_head(Version::HTTP_11, false);
     // The request of this one was answered after the last connection was opened.
-    idle.record_head(Version::HTTP_11);
+    idle.record_head(Version::HTTP_11, false);
     idle.record_response();
     assert!(has_room(&table).await);
     let is_closed = |index: usize| connections[index].2.handle().is_aborted();
@@ -68,7 +68,7 @@
     let table = Arc::new(ConnectionTable::default());
     let connections = open(&table, MAX_CONNECTIONS).await;
     for (activity, _, _) in &connections {
-        activity.record_head(Version::HTTP_11);
+        activity.record_head(Version::HTTP_11, false);
         activity.record_partial_body();
         advance(Duration::from_millis(10)).await;
     }
@@ -86,7 +86,7 @@
     let table = Arc::new(ConnectionTable::default());
     let mut connections = open(&table, MAX_CONNECTIONS).await;
     for (activity, _, _) in &connections {
-        activity.record_head(Version::HTTP_11);
+        activity.record_head(Version::HTTP_11, false);
     }
     assert!(!has_room(&table).await);
     drop(connections.pop());
--- a/crates/hawthornstand/tests/head_timeout.rs
+++ b/crates/hawthornstand/tests/head_timeout.rs
@@ -75,7 +75,7 @@
 async fn body_and_answer_may_take_longer_than_a_head() {
     let activity = ConnectionActivity::default();
     let (mut near, far) = connection(&activity);
-    activity.record_head(Version::HTTP_11);
+    activity.record_head(Version::HTTP_11, false);
     send_slowly(far, 30);
     let mut body = [0; 30];
     near.read_exact(&mut body).await.expect("a body");
@@ -92,7 +92,7 @@
     let (mut near, mut far) = connection(&activity);
     far.write_all(b"x").await.expect("an open connection");
     near.read_u8().await.expect("a head");
-    activity.record_head(Version::HTTP_11);
+    activity.record_head(Version::HTTP_11, false);
     sleep(TIMEOUT * 2).await;
     activity.record_response();
     send_slowly(far, 60);
@@ -103,7 +103,7 @@
 async fn http_2_frames_between_activity_start_no_timeout() {
     let activity = ConnectionActivity::default();
     let (mut near, far) = connection(&activity);
-    activity.record_head(Version::HTTP_2);
+    activity.record_head(Version::HTTP_2, false);
     activity.record_response();
     send_slowly(far, 30);
     assert_eq!(read_until_error(&mut near).await.0, ErrorKind::UnexpectedEof);
