Refuse a body by its stated length before it is sent

Callers saw: a body that is longer than allowed is refused only once maxBodyBytes of it have arrived, or with 408 at the end of its time; until then it takes memory from others.

Cause: the limit was applied to what had been received, not to Content-Length.

Evidence: body_whose_stated_length_exceeds_the_limit_is_refused_before_it_is_sent: 408 before, 413 at once now.

--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -20,6 +20,9 @@
     activity: Option<&ConnectionActivity>,
 ) -> Result<Bytes, Failure> {
     activity.inspect(|activity| activity.record_partial_body());
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large(max_bytes));
+    }
     let expected_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
     let mut receiving = memory.receive(max_bytes.min(expected_bytes as usize));
     let mut body = Limited::new(body, max_bytes);
@@ -50,8 +53,12 @@
 /// Returns the failure to report for a body that cannot be read.
 fn failure(error: &(dyn std::error::Error + 'static), max_bytes: usize) -> Failure {
     if error.is::<LengthLimitError>() {
-        let message = format!("at most {max_bytes} bytes are allowed");
-        return Failure::new(ErrorKind::BodyTooLarge, message);
+        return too_large(max_bytes);
     }
     Failure::new(ErrorKind::BadBody, error.to_string())
 }
+
+/// Returns the failure to report for a body that is larger than the limit.
+fn too_large(max_bytes: usize) -> Failure {
+    Failure::new(ErrorKind::BodyTooLarge, format!("at most {max_bytes} bytes are allowed"))
+}
