Receive bodies in blocks, and refuse at once what complete bodies leave no room for

Callers saw: nothing yet; found while the limit on bodies was taken to the product's own interface, whose process held 274 to 321 MB with 64 MiB of bodies.

A complete body is put together once, counts by its length, and gives its blocks back. A body whose stated length does not fit beside the complete ones is refused before it pushes out others.

--- a/crates/hawthornstand/src/process/body_memory.rs
+++ b/crates/hawthornstand/src/process/body_memory.rs
@@ -11,6 +11,9 @@
 
 /// Bytes of each body that do not count: short bodies are accepted whatever the others hold.
 pub const UNCOUNTED_BYTES: usize = 4096;
+/// Size of the blocks in which a body is received. Growing one buffer by copying would leave gaps of all sizes behind,
+/// which an allocator keeps.
+pub const BLOCK_BYTES: usize = 16 * 1024;
 /// Bytes that a body has to receive until it counts as moving again, so that single bytes do not keep it.
 const PROGRESS_BYTES: usize = 4096;
 
@@ -48,7 +51,8 @@
 
 /// A body that is not complete.
 struct PartialBody {
-    buffer: Vec<u8>,
+    /// All but the last are full.
+    blocks: Vec<Vec<u8>>,
     id: BodyId,
     moved_at: Instant,
     received_since_moved_bytes: usize,
@@ -59,7 +63,6 @@
 pub struct ReceivingBody<'a> {
     /// Holds a body that does not count yet.
     first: Vec<u8>,
-    max_bytes: usize,
     memory: &'a Arc<BodyMemory>,
     partial: Option<(BodyId, Arc<Notify>)>,
 }
@@ -94,9 +97,21 @@
         lock(&self.bodies).held_bytes
     }
 
-    /// Begins to receive a body of at most `max_bytes`.
-    pub fn receive(self: &Arc<Self>, max_bytes: usize) -> ReceivingBody<'_> {
-        ReceivingBody { first: Vec::new(), max_bytes, memory: self, partial: None }
+    /// Begins to receive a body that has at least `expected_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if complete bodies leave no room for it.
+    pub fn receive(
+        self: &Arc<Self>,
+        expected_bytes: u64,
+    ) -> Result<ReceivingBody<'_>, BodyRefused> {
+        if expected_bytes > UNCOUNTED_BYTES as u64 {
+            let bodies = lock(&self.bodies);
+            let complete_bytes = bodies.held_bytes - bodies.refusable_bytes(None);
+            self.check_room(complete_bytes, 0, expected_bytes)?;
+        }
+        Ok(ReceivingBody { first: Vec::new(), memory: self, partial: None })
     }
 
     /// Holds a body that is complete.
@@ -113,6 +128,45 @@
         Ok(Bytes::from_owner(HeldBody { bytes, held_bytes, memory: Arc::clone(self) }))
     }
 
+    /// Checks whether bytes can be added to a body beside what cannot be refused any more, which includes its own bytes.
+    fn check_room(
+        &self,
+        kept_bytes: usize,
+        own_bytes: usize,
+        added_bytes: u64,
+    ) -> Result<(), BodyRefused> {
+        // A body that is alone is received whatever the limit is.
+        let is_alone = kept_bytes == own_bytes;
+        if is_alone || (kept_bytes as u64).saturating_add(added_bytes) <= self.limit_bytes as u64 {
+            return Ok(());
+        }
+        self.refused.inc();
+        Err(BodyRefused)
+    }
+
+    /// Adds received bytes to the blocks of a body.
+    fn fill_blocks(
+        &self,
+        bodies: &mut Bodies,
+        id: BodyId,
+        mut bytes: &[u8],
+    ) -> Result<(), BodyRefused> {
+        while !bytes.is_empty() {
+            let body = bodies.get(id).ok_or(BodyRefused)?;
+            if body.blocks.last().is_none_or(|block| block.len() == BLOCK_BYTES) {
+                self.reserve(bodies, Some(id), BLOCK_BYTES)?;
+                let block = Vec::with_capacity(BLOCK_BYTES);
+                bodies.get_mut(id).ok_or(BodyRefused)?.blocks.push(block);
+            }
+            let body = bodies.get_mut(id).ok_or(BodyRefused)?;
+            let Some(block) = body.blocks.last_mut() else { return Err(BodyRefused) };
+            let (fitting, rest) = bytes.split_at(bytes.len().min(BLOCK_BYTES - block.len()));
+            block.extend_from_slice(fitting);
+            bytes = rest;
+        }
+        Ok(())
+    }
+
     /// Adds bytes for the body `id`, or for a new one; refuses others if there is no room.
     fn reserve(
         &self,
@@ -120,25 +174,15 @@
         id: Option<BodyId>,
         added_bytes: usize,
     ) -> Result<(), BodyRefused> {
-        let refusable_bytes: usize = bodies
-            .receiving
-            .iter()
-            .filter(|body| Some(body.id) != id)
-            .map(|body| body.buffer.capacity())
-            .sum();
-        let own_bytes = id.and_then(|id| bodies.get(id)).map_or(0, |body| body.buffer.capacity());
-        let kept_bytes = bodies.held_bytes - refusable_bytes;
-        // A body that is alone is received whatever the limit is.
-        if kept_bytes > own_bytes && kept_bytes + added_bytes > self.limit_bytes {
-            self.refused.inc();
-            return Err(BodyRefused);
-        }
+        let own_bytes = id.and_then(|id| bodies.get(id)).map_or(0, PartialBody::held_bytes);
+        let kept_bytes = bodies.held_bytes - bodies.refusable_bytes(id);
+        self.check_room(kept_bytes, own_bytes, added_bytes as u64)?;
         while bodies.held_bytes + added_bytes > self.limit_bytes {
             let others =
                 bodies.receiving.iter().enumerate().filter(|(_, body)| Some(body.id) != id);
             let Some((index, _)) = others.min_by_key(|(_, body)| body.moved_at) else { break };
             let body = bodies.receiving.remove(index);
-            bodies.held_bytes -= body.buffer.capacity();
+            bodies.held_bytes -= body.held_bytes();
             body.refused.notify_one();
             self.refused.inc();
         }
@@ -147,7 +191,23 @@
     }
 }
 
+impl PartialBody {
+    fn held_bytes(&self) -> usize {
+        self.blocks.len() * BLOCK_BYTES
+    }
+
+    fn length_bytes(&self) -> usize {
+        self.blocks.iter().map(Vec::len).sum()
+    }
+}
+
 impl Bodies {
+    /// Returns the bytes of the bodies that can still be refused, except one.
+    fn refusable_bytes(&self, except: Option<BodyId>) -> usize {
+        let others = self.receiving.iter().filter(|body| Some(body.id) != except);
+        others.map(PartialBody::held_bytes).sum()
+    }
+
     /// Returns a body; none if it was refused.
     fn get(&self, id: BodyId) -> Option<&PartialBody> {
         let index = self.receiving.binary_search_by_key(&id, |body| body.id).ok()?;
@@ -185,20 +245,9 @@
             Some((id, _)) => *id,
             None => self.begin_counting(&mut bodies),
         };
-        let body = bodies.get(id).ok_or(BodyRefused)?;
-        let capacity = body.buffer.capacity();
-        let length = body.buffer.len() + first.len() + bytes.len();
-        let is_full = length > capacity;
-        let wanted = (capacity * 2).min(self.max_bytes).max(length);
-        if is_full {
-            memory.reserve(&mut bodies, Some(id), wanted - capacity)?;
-        }
+        memory.fill_blocks(&mut bodies, id, &first)?;
+        memory.fill_blocks(&mut bodies, id, bytes)?;
         let body = bodies.get_mut(id).ok_or(BodyRefused)?;
-        if is_full {
-            body.buffer.reserve_exact(wanted - body.buffer.len());
-        }
-        body.buffer.extend_from_slice(&first);
-        body.buffer.extend_from_slice(bytes);
         body.received_since_moved_bytes += bytes.len();
         if body.received_since_moved_bytes < PROGRESS_BYTES {
             return Ok(Progress::TooLittle);
@@ -212,7 +261,7 @@
         let (id, refused) = (bodies.next_id, Arc::new(Notify::new()));
         bodies.next_id += 1;
         bodies.receiving.push(PartialBody {
-            buffer: Vec::new(),
+            blocks: Vec::new(),
             id,
             moved_at: Instant::now(),
             received_since_moved_bytes: 0,
@@ -239,10 +288,15 @@
         let Some((id, _)) = self.partial.take() else {
             return Ok(std::mem::take(&mut self.first).into());
         };
-        let body = lock(&self.memory.bodies).remove(id).ok_or(BodyRefused)?;
-        let held_bytes = body.buffer.capacity();
-        let memory = Arc::clone(self.memory);
-        Ok(Bytes::from_owner(HeldBody { bytes: body.buffer.into(), held_bytes, memory }))
+        let body = {
+            let mut bodies = lock(&self.memory.bodies);
+            let body = bodies.remove(id).ok_or(BodyRefused)?;
+            bodies.held_bytes -= body.held_bytes() - body.length_bytes();
+            body
+        };
+        let held_bytes = body.length_bytes();
+        let bytes = body.blocks.concat().into();
+        Ok(Bytes::from_owner(HeldBody { bytes, held_bytes, memory: Arc::clone(self.memory) }))
     }
 }
 
@@ -251,7 +305,7 @@
         let Some((id, _)) = self.partial.take() else { return };
         let mut bodies = lock(&self.memory.bodies);
         if let Some(body) = bodies.remove(id) {
-            bodies.held_bytes -= body.buffer.capacity();
+            bodies.held_bytes -= body.held_bytes();
         }
     }
 }
--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -10,7 +10,7 @@
 use crate::process::body_memory::{BodyMemory, BodyRefused, Progress};
 use crate::process::connection_activity::ConnectionActivity;
 
-/// Reads a whole body of at most `max_bytes` bytes into one buffer, unless it is refused for lack of memory.
+/// Reads a whole body of at most `max_bytes` bytes unless it is refused for lack of memory.
 ///
 /// `activity` is that of the connection, from the extensions of the request.
 pub async fn read(
@@ -20,11 +20,11 @@
     activity: Option<&ConnectionActivity>,
 ) -> Result<Bytes, Failure> {
     activity.inspect(|activity| activity.record_partial_body());
-    if body.size_hint().lower() > max_bytes as u64 {
+    let expected_bytes = body.size_hint().lower();
+    if expected_bytes > max_bytes as u64 {
         return Err(too_large(max_bytes));
     }
-    let expected_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
-    let mut receiving = memory.receive(max_bytes.min(expected_bytes as usize));
+    let mut receiving = memory.receive(expected_bytes).map_err(refused)?;
     let mut body = Limited::new(body, max_bytes);
     loop {
         let frame = tokio::select! {
