Count the bodies of what other VMs send

Callers saw: nothing yet; found by reading. In a fleet with relays a few VMs run the searches of all others, and each of these may hold a quarter of its memory in bodies: together more than a relay has. The same goes for a VM that takes over requests.

Cause: a relay counted no bodies; its memory was bounded by what others send only.

A body counts when its message has been decoded, and is refused like a caller's: accepted first and failed at once, since VMs, those of earlier builds too, avoid a link on which a search is not accepted. These pass the failure on as 502, not run.

--- a/crates/hawthornstand/src/gateway/relays/host.rs
+++ b/crates/hawthornstand/src/gateway/relays/host.rs
@@ -16,7 +16,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::error::Failure;
+use crate::error::{ErrorKind, Failure};
 use crate::gateway::attempt_outcomes::AttemptOutcomes;
 use crate::gateway::context::GatewayContext;
 use crate::gateway::crash_tracker;
@@ -202,7 +202,15 @@
     }
 
     /// Starts a search in a task of its own, or refuses it.
-    async fn start_search(&mut self, id: SearchId, search: RelayedSearch) -> Result<(), String> {
+    async fn start_search(
+        &mut self,
+        id: SearchId,
+        mut search: RelayedSearch,
+    ) -> Result<(), String> {
+        if let Err(failure) = self.hold_body(&mut search.body) {
+            let refusal = failure.to_refusal();
+            return self.start(id, async move { RelayMessage::Failed { id, refusal } }).await;
+        }
         let Some((shards, request)) = self.host.accept(&search.shards).zip(search.to_outbound())
         else {
             return self.send(&RelayMessage::Refused { id, attempts: Some(0) }).await;
@@ -227,7 +235,15 @@
     }
 
     /// Starts a request in a task of its own, or refuses it.
-    async fn start_request(&mut self, id: SearchId, relayed: RelayedRequest) -> Result<(), String> {
+    async fn start_request(
+        &mut self,
+        id: SearchId,
+        mut relayed: RelayedRequest,
+    ) -> Result<(), String> {
+        if let Err(failure) = self.hold_body(&mut relayed.body) {
+            let refusal = failure.to_refusal();
+            return self.start(id, async move { RelayMessage::Failed { id, refusal } }).await;
+        }
         let services = self.host.accept(std::slice::from_ref(&relayed.service));
         let service = services.and_then(|mut services| services.pop());
         let Some((service, request)) = service.zip(relayed.to_outbound()) else {
@@ -253,6 +269,13 @@
         .await
     }
 
+    /// Counts a body as held until its last copy is dropped.
+    fn hold_body(&self, body: &mut Bytes) -> Result<(), Failure> {
+        let held = self.host.context.body_memory.hold(std::mem::take(body));
+        *body = held.map_err(|error| Failure::new(ErrorKind::TooManyBodies, error.to_string()))?;
+        Ok(())
+    }
+
     /// Runs a search or request in a task of its own, and sends its answer.
     async fn start(
         &mut self,
