Close a connection whose client takes nothing of an answer

Callers saw: nothing of their own; but a client that reads nothing keeps its descriptor, and what of the answer the kernel does not take, until it leaves.

Cause: there were time limits for heads, bodies and idle connections, and none for writing an answer.

A write that waits for idleTimeoutMs without a byte being taken ends the connection; each byte that is taken begins anew.

--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -25,6 +25,7 @@
 use crate::process::lingering_close::LingeringClose;
 use crate::process::receive_buffer;
 use crate::process::timer::sleep_until_or_forever;
+use crate::process::write_timeout::WriteTimeout;
 
 /// Smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -102,6 +103,7 @@
         let activity = ConnectionActivity::default();
         let (guard, closing) = connections.open(activity.clone());
         let stream = LingeringClose::new(stream, activity.clone(), stop.clone());
+        let stream = WriteTimeout::new(stream, limits.idle_timeout);
         let stream = HeadTimeout::new(stream, activity.clone(), limits.header_timeout);
         let service = service_fn(move |mut request: Request<Incoming>| {
             let has_body = !request.body().is_end_stream();
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -33,3 +33,4 @@
 pub mod timer;
 #[cfg(feature = "own-interface")]
 pub mod trace;
+pub mod write_timeout;
--- a/crates/standins/src/process_usage.rs
+++ b/crates/standins/src/process_usage.rs
@@ -8,6 +8,8 @@
 
 /// Time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+/// State in `/proc/net/tcp` of a connection that is open on both sides.
+const ESTABLISHED: u8 = 0x01;
 /// State in `/proc/net/tcp` of a connection of which the handshake is not complete (`SYN_RECV`).
 const HANDSHAKE: u8 = 0x03;
 /// State in `/proc/net/tcp` of a listening socket.
@@ -101,6 +103,12 @@
     sockets().iter().filter(is_accepted).map(|socket| socket.receive_queue).sum()
 }
 
+/// Returns the number of open connections that were accepted at an address.
+pub fn connections_accepted_at(address: SocketAddr) -> usize {
+    let is_open = |socket: &&Socket| socket.local == address && socket.state == ESTABLISHED;
+    sockets().iter().filter(is_open).count()
+}
+
 /// Returns whether every connection to an address was accepted, and all that was sent on them was read.
 pub fn is_everything_read(address: SocketAddr) -> bool {
     sockets().iter().all(|socket| {
