Show operators what callers hold and what they were refused

Operators saw a crowd only by the lines of its single requests, and nothing of connections that were closed. A line a second at most now says how many bodies were refused and connections closed since the last, and what callers hold; the status has the same (callers), and hawthornstand status prints it.

--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -76,6 +76,7 @@
             settings.body_memory_bytes(),
             telemetry.refused_bodies.clone(),
         )),
+        caller_connections: Arc::new(ConnectionTable::new(telemetry.evicted_connections.clone())),
         crash_tracker: Arc::clone(&crash_tracker),
         protocol,
         telemetry: Arc::clone(&telemetry),
@@ -111,10 +112,10 @@
         tokio::spawn(peer_link::run(Arc::clone(&peers), active_settings.clone()));
         read_policy = peers;
     }
-    let evicted_connections = telemetry.evicted_connections.clone();
     let reading =
         store_watch::run(settings.config_apply, Arc::clone(&state), store, read_policy, telemetry);
     tokio::spawn(reading);
+    let caller_connections = Arc::clone(&context.caller_connections);
     let request_handler = Arc::new(RequestHandler {
         clock: Arc::new(SystemClock),
         context,
@@ -136,7 +137,6 @@
             move |request| request_handler::readiness(Arc::clone(&request_handler), request)
         },
     ));
-    let caller_connections = Arc::new(ConnectionTable::new(evicted_connections));
     let serving = tokio::spawn(http_server::serve(
         caller_listener,
         stopped,
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -1,5 +1,5 @@
 //! Periodic maintenance: probes unresponsive and replaced backend servers, opens connections in advance, expires
-//! vanished entries.
+//! vanished entries, reports what callers were refused.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::gateway::caller_load::RefusalLog;
 use crate::gateway::context::GatewayContext;
 use crate::gateway::directory::{KeptConnections, Service};
 use crate::gateway::listing::Listing;
@@ -47,10 +48,12 @@
 ) {
     let mut ticks = timer.subscribe(MAINTENANCE_INTERVAL);
     let open_from = Instant::now() + FLEET_DISCOVERY_TIME;
+    let mut refusal_log = RefusalLog::default();
     while ticks.next().await.is_some() {
         let drain = settings.borrow().drain;
         state.expire_entries(drain);
         context.crash_tracker.set_fleet_size(state.directory.fleet_size());
+        refusal_log.update(&context, Instant::now());
         update_reach(&state);
         probe_unusable(&state, &context);
         probe_for_contact(&state, &context);
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt_outcomes;
 pub mod attempts;
 pub mod call;
+pub mod caller_load;
 pub mod config_in_force;
 pub mod config_order;
 pub mod connection_headers;
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -30,7 +30,7 @@
 use crate::gateway::scatter::MergedAnswer;
 use crate::gateway::state::PublishedState;
 use crate::gateway::time_budget::TimeBudget;
-use crate::gateway::{connection_headers, forward, partial, scatter, status};
+use crate::gateway::{caller_load, connection_headers, forward, partial, scatter, status};
 use crate::ids::{self, Fingerprint, id_text};
 use crate::messages::Outcome;
 use crate::process::clock::Clock;
@@ -478,7 +478,8 @@
         return Response::new(Full::from(handler.context.telemetry.encode()));
     }
     let relays = handler.relays.as_ref().map(|relays| relays.addresses()).unwrap_or_default();
-    match serde_json::to_vec(&status::describe(&handler.state, relays)) {
+    let callers = caller_load::current(&handler.context);
+    match serde_json::to_vec(&status::describe(&handler.state, relays, callers)) {
         Ok(json) => Response::new(Full::from(json)),
         Err(error) => {
             log::warn!("status cannot be written: {error}");
--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::gateway::caller_load::CallerLoad;
 use crate::gateway::server::Proximity;
 use crate::gateway::state::PublishedState;
 use crate::ids::{Era, LeafId, Revision, ServiceName};
@@ -28,6 +29,9 @@
     /// Relays to which this VM sends its searches, in the order of use.
     #[serde(default)]
     pub linked_relays: Vec<SocketAddr>,
+    /// What callers hold at this VM.
+    #[serde(default)]
+    pub callers: CallerLoad,
     /// Revision of the store up to which the state of this VM is complete.
     pub as_of: Revision,
     /// Era of the store to which the revision belongs.
@@ -89,7 +93,11 @@
 }
 
 /// Returns the status of this VM.
-pub fn describe(state: &PublishedState, linked_relays: Vec<SocketAddr>) -> GatewayStatus {
+pub fn describe(
+    state: &PublishedState,
+    linked_relays: Vec<SocketAddr>,
+    callers: CallerLoad,
+) -> GatewayStatus {
     let now = Instant::now();
     let mut services = Vec::new();
     for service in state.directory.services() {
@@ -126,6 +134,7 @@
         is_relay: role.is_relay,
         relays: role.relays,
         linked_relays,
+        callers,
         as_of: as_of.revision,
         era: as_of.era,
         confirmed_ms_ago: state.confirmation_age_in_era().map(|age| age.as_millis() as u64),
--- a/crates/hawthornstand/src/process/gateway_text.rs
+++ b/crates/hawthornstand/src/process/gateway_text.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use crate::gateway::caller_load::CallerLoad;
 use crate::gateway::status::{GatewayStatus, ServerStatus, ServiceStatus};
 
 /// Availability of a backend server that the overview leaves out.
@@ -24,6 +25,8 @@
     let store = if status.store_away { "does not answer" } else { "answers" };
     let _ = writeln!(text, "store {store}; {} known VMs", status.fleet);
     let _ = writeln!(text, "{}", relay_line(status));
+    let CallerLoad { body_bytes, connections } = status.callers;
+    let _ = writeln!(text, "callers: {connections} connections, {body_bytes} bytes of bodies");
     for service in &status.services {
         let _ = writeln!(text, "\n{}", service_summary(service));
         for server in service.servers.iter().filter(|server| server.availability != USABLE) {
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthornstand::gateway::caller_load::CallerLoad;
 use hawthornstand::gateway::status::{GatewayStatus, ServerStatus, ServiceStatus};
 use hawthornstand::process::cli::{self, OutputFormat};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,6 +35,7 @@
         is_relay: false,
         relays: 4,
         linked_relays: vec![([10, 0, 0, 2], 8224).into(), ([10, 0, 0, 3], 8224).into()],
+        callers: CallerLoad { body_bytes: 262_144, connections: 57 },
         as_of: 4711,
         era: 1,
         confirmed_ms_ago: Some(820),
