Return no answer without a final status

Cause: hyper reports 000 and other statuses that are none as errors and skips interim ones, but passes on 101, and whatever had an id of three digits was an answer.

Such an exchange counts as broken: the request may have run. A VM also refuses such an answer from another one, which may be of an earlier build, and does not take it for a health answer (both by reading).

--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -191,6 +191,10 @@
     })?;
     connection.head_allowance.end_head();
     let (parts, body) = response.into_parts();
+    // hyper passes on 101, the only interim status that ends an exchange.
+    if parts.status.is_informational() {
+        return Err(ExchangeError::Broken("the answer has no final status"));
+    }
     let head = protocol.read_answer_head(parts.status, &parts.headers);
     if !head.request_id.is_empty() && head.request_id != request.request_id {
         return Err(ExchangeError::Broken("the answer belongs to another request"));
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -184,6 +184,9 @@
     server.record_sent(Instant::now());
     let response = connection.sender.send_request(request).await.ok()?;
     let (status, headers) = (response.status(), response.headers());
+    if status.is_informational() {
+        return None;
+    }
     let server_id = context.protocol.read_health_server_id(headers);
     Some((server_id, context.protocol.read_statements(status, headers)))
 }
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -431,7 +431,9 @@
 fn forwarded_response(answer: ForwardedAnswer) -> Result<Response<Full<Bytes>>, Failure> {
     let mut response = Response::new(Full::new(answer.body));
     let malformed = || Failure::new(ErrorKind::OutcomeUnknown, "the answer is malformed");
-    *response.status_mut() = StatusCode::from_u16(answer.status).map_err(|_| malformed())?;
+    let status = StatusCode::from_u16(answer.status).ok();
+    *response.status_mut() =
+        status.filter(|status| !status.is_informational()).ok_or_else(malformed)?;
     for (name, value) in answer.headers {
         let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| malformed())?;
         let value = HeaderValue::from_maybe_shared(value).map_err(|_| malformed())?;
