--- a/crates/hawthornstand/src/callers/caller_http.rs
+++ b/crates/hawthornstand/src/callers/caller_http.rs
@@ -17,6 +17,7 @@
 use crate::callers::request_headers::{self, RequestHeaders};
 use crate::error::{ErrorKind, Failure};
 use crate::messages::{BookingRequest, SearchRequest};
+use crate::process::connection_activity::ConnectionActivity;
 use crate::process::context::Context;
 use crate::process::http_body;
 use crate::process::trace::{root_span, traceparent_of};
@@ -107,8 +108,9 @@
     request: Request<Incoming>,
 ) -> Result<(T, Bytes), Failure> {
     let limit = context.settings.admission.max_body_bytes as usize;
-    let (parts, body) = request.into_parts();
-    let bytes = http_body::read(body, limit, &context.body_memory, parts.extensions.get()).await?;
+    let (mut parts, body) = request.into_parts();
+    let activity: ConnectionActivity = parts.extensions.remove().unwrap_or_default();
+    let bytes = http_body::read(body, limit, &context.body_memory, &activity).await?;
     let parsed = serde_json::from_slice(&bytes)
         .map_err(|error| Failure::new(ErrorKind::BadBody, error.to_string()))?;
     Ok((parsed, bytes))
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -8,7 +8,6 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::http::Extensions;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::Instant;
 
@@ -34,6 +33,7 @@
 use crate::ids::{self, Fingerprint, id_text};
 use crate::messages::Outcome;
 use crate::process::clock::Clock;
+use crate::process::connection_activity::ConnectionActivity;
 use crate::process::http_body;
 use crate::process::http_server::HttpLimits;
 
@@ -107,7 +107,8 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, FailedRequest> {
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        let activity = parts.extensions.remove().unwrap_or_default();
         let caller =
             self.context.protocol.read_caller_headers(&parts.headers).map_err(|error| {
                 FailedRequest::new(
@@ -139,7 +140,7 @@
         let max_body_bytes = active_config.limits.max_body_bytes;
         let body = tokio::select! {
             biased;
-            body = self.read_body(body, max_body_bytes, &parts.extensions, &time_budget) => {
+            body = self.read_body(body, max_body_bytes, &activity, &time_budget) => {
                 body.map_err(|kind| refuse(kind, "body not read"))?
             }
             () = self.load.must_answer() => {
@@ -184,14 +185,14 @@
         &self,
         body: Incoming,
         max_bytes: usize,
-        extensions: &Extensions,
+        activity: &ConnectionActivity,
         time_budget: &TimeBudget,
     ) -> Result<Bytes, ErrorKind> {
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
         let memory = &self.context.body_memory;
-        let reading = http_body::read(body, max_bytes, memory, extensions.get());
+        let reading = http_body::read(body, max_bytes, memory, activity);
         match tokio::time::timeout_at(time_budget.deadline(), reading).await {
             Ok(read) => read.map_err(|failure| failure.kind),
             Err(_) => Err(ErrorKind::BodyTooSlow),
--- a/crates/hawthornstand/src/process/http_body.rs
+++ b/crates/hawthornstand/src/process/http_body.rs
@@ -12,14 +12,14 @@
 
 /// Reads a whole body of at most `max_bytes` bytes unless it is refused for lack of memory.
 ///
-/// `activity` is that of the connection, from the extensions of the request.
+/// `activity` is that of the connection.
 pub async fn read(
     body: Incoming,
     max_bytes: usize,
     memory: &Arc<BodyMemory>,
-    activity: Option<&ConnectionActivity>,
+    activity: &ConnectionActivity,
 ) -> Result<Bytes, Failure> {
-    activity.inspect(|activity| activity.record_partial_body());
+    activity.record_partial_body();
     let expected_bytes = body.size_hint().lower();
     if expected_bytes > max_bytes as u64 {
         return Err(too_large(max_bytes));
@@ -33,14 +33,14 @@
             () = receiving.refused() => return Err(refused(BodyRefused)),
         };
         let Some(frame) = frame else {
-            activity.inspect(|activity| activity.record_complete_request());
+            activity.record_complete_request();
             return receiving.finish().map_err(refused);
         };
         let frame = frame.map_err(|error| failure(&*error, max_bytes))?;
         // A frame refers to the buffer that it was read into, however short it is.
         let Ok(data) = frame.into_data() else { continue };
         if receiving.append(&data).map_err(refused)? == Progress::Moved {
-            activity.inspect(|activity| activity.record_partial_body());
+            activity.record_partial_body();
         }
     }
 }
--- a/crates/hawthornstand/tests/connection_limit.rs
+++ b/crates/hawthornstand/tests/connection_limit.rs
@@ -98,8 +98,9 @@
     memory: Arc<BodyMemory>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let (parts, body) = request.into_parts();
-    let body = http_body::read(body, 1000, &memory, parts.extensions.get()).await;
+    let (mut parts, body) = request.into_parts();
+    let activity = parts.extensions.remove().unwrap_or_default();
+    let body = http_body::read(body, 1000, &memory, &activity).await;
     let text = body.map_or_else(|failure| failure.to_string(), |body| body.len().to_string());
     Response::new(Full::from(text))
 }
