Count the end of a backend server after the call to it was given up

A request that ends each server 0.3 s after it began to run it came 16 times from a caller that leaves after 0.15 s. It ended 24 servers, 12 retries reached servers later than 5 s after the third, where 3 are allowed, and 24 of 940 other requests got 502.

Cause: a crash was looked for only when the connection of a running call broke. When the caller leaves, the task of the call is dropped and closes the connection; the server ends after that, unseen. The same task is dropped when the time is spent, a hedge lost, a search is merged without the shard and a VM withdraws what it asked a relay for.

Change: a call that is dropped between its sending and its end is remembered with its server until the time that the server was given is over (abandoned_calls.rs). Every 0.2 s each such server without an open idle connection is asked for one; refused while others respond, or a later process in its entry, is an end. Calls still end with their callers. Servers that leave as planned and answered requests are left out; where neighbours without the request have ended as well, ends count once in 2 s over all VMs.

--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -97,6 +97,46 @@
     }
 }
 
+/// A call that was sent and has not ended. Dropped before its end, it is watched whether the backend server ends.
+struct UnansweredCall<'a> {
+    context: &'a GatewayContext,
+    deadline: Instant,
+    has_ended: bool,
+    request: &'a OutboundRequest,
+    server: &'a Arc<Server>,
+}
+
+impl<'a> UnansweredCall<'a> {
+    fn new(
+        server: &'a Arc<Server>,
+        request: &'a OutboundRequest,
+        deadline: Instant,
+        context: &'a GatewayContext,
+    ) -> Self {
+        Self { context, deadline, has_ended: false, request, server }
+    }
+
+    /// Ends the call.
+    fn end(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for UnansweredCall<'_> {
+    fn drop(&mut self) {
+        let (request, now) = (self.request, Instant::now());
+        // A request that was answered crashes no backend server.
+        if self.has_ended
+            || request.attempt_outcomes.is_answered()
+            || self.context.crash_tracker.was_just_answered(request.fingerprint, now)
+        {
+            return;
+        }
+        self.context.telemetry.abandoned_calls.inc();
+        self.context.abandoned_calls.record(self.server, request.fingerprint, self.deadline);
+    }
+}
+
 /// Sends a request and reads the whole answer.
 async fn run(
     server: &Arc<Server>,
@@ -118,10 +158,12 @@
         return CallOutcome::NotSent(ConnectError::Failed);
     }
     let started = Instant::now();
+    let unanswered = UnansweredCall::new(server, request, started + time_budget.left(), context);
     let body_memory = AnswerPermit::new(Arc::clone(&context.answer_memory));
     let protocol = &*context.protocol;
     let outcome =
         exchange(&mut connection, server, request, time_budget, protocol, body_memory).await;
+    unanswered.end();
     let now = Instant::now();
     let (answer, reusable) = match outcome {
         Ok(exchanged) => exchanged,
@@ -131,7 +173,7 @@
         }
         Err(ExchangeError::Broken(reason)) => {
             server.record_broken_call(now);
-            crash_check::start(server, request, &context.crash_tracker);
+            crash_check::start(server, request, context);
             return CallOutcome::Broken(reason);
         }
     };
--- a/crates/hawthornstand/src/gateway/crash_tracker.rs
+++ b/crates/hawthornstand/src/gateway/crash_tracker.rs
@@ -32,6 +32,8 @@
 /// Time for which an answer shows that a request crashes no backend server: many requests run when several processes end
 /// at once for another reason, and a release may change what a request does.
 const ANSWER_VALIDITY: Duration = Duration::from_secs(2);
+/// Time within which crashes that may have a common cause count as one.
+const COMMON_CAUSE_TIME: Duration = Duration::from_secs(2);
 /// Crash reports buffered for a link that sends slowly.
 const REPORT_BUFFER: usize = 64;
 
@@ -49,6 +51,9 @@
         #[serde(default)]
         pub doublings: u32,
         pub fingerprint: Fingerprint,
+        /// Whether the processes may have ended together with others that had not got the request.
+        #[serde(default)]
+        pub has_common_cause: bool,
         pub processes: Vec<ProcessHash>,
     }
 }
@@ -93,6 +98,14 @@
         now > self.last_crash + self.refusal_time() + CRASH_MEMORY
     }
 
+    /// Returns whether the last crash is so close to an instant that both may have the same cause.
+    fn has_crash_near(&self, instant: Instant) -> bool {
+        let distance = instant
+            .saturating_duration_since(self.last_crash)
+            .max(self.last_crash.saturating_duration_since(instant));
+        !self.processes.is_empty() && distance < COMMON_CAUSE_TIME
+    }
+
     /// Returns when the refusal ends at the first VMs; none if the request is not refused.
     fn refusal_end(&self) -> Option<Instant> {
         let is_refused = self.processes.len() >= CRASH_THRESHOLD;
@@ -219,6 +232,11 @@
         if suspect.is_outdated(now) {
             *suspect = SuspectRequest { doublings: 0, processes: Vec::new(), ..*suspect };
         }
+        if report.has_common_cause && suspect.has_crash_near(crashed_at) {
+            log::info!(fingerprint = fingerprint, crashed = report.processes.len();
+                "crashes not counted: another one at the same time, and other processes ended as well");
+            return false;
+        }
         let known = suspect.processes.len();
         let refusal_ended = suspect.refusal_end().is_some_and(|end| end <= crashed_at);
         for process in &report.processes {
@@ -242,6 +260,13 @@
         true
     }
 
+    /// Returns whether a process is known to have crashed while it ran a request.
+    pub fn is_known_crash(&self, fingerprint: Fingerprint, process: ProcessHash) -> bool {
+        let suspects = lock(&self.suspects);
+        let suspect = suspects.iter().find(|suspect| suspect.fingerprint == fingerprint);
+        suspect.is_some_and(|suspect| suspect.processes.binary_search(&process).is_ok())
+    }
+
     /// Records that a trial ran and brought no success: the request is refused again, at every VM.
     pub fn record_failed_trial(&self, fingerprint: Fingerprint, now: Instant) {
         // Counted like a crashed process, so that all builds pass it on.
@@ -262,6 +287,7 @@
                 age_ms: now.saturating_duration_since(suspect.last_crash).as_millis() as u64,
                 doublings: suspect.doublings,
                 fingerprint: suspect.fingerprint,
+                has_common_cause: false,
                 processes: suspect.processes.clone(),
             });
         }
@@ -269,7 +295,7 @@
     }
 
     /// Returns whether a backend server has answered a request within [`ANSWER_VALIDITY`].
-    fn was_just_answered(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+    pub fn was_just_answered(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         let slot = self.answered_slot(fingerprint);
         let answered_ms = slot.answered_ms.load(Ordering::Relaxed);
         slot.fingerprint.load(Ordering::Relaxed) == fingerprint
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -71,6 +71,7 @@
     ));
     let crash_tracker = Arc::new(CrashTracker::default());
     let context = GatewayContext {
+        abandoned_calls: Arc::default(),
         answer_memory: Arc::default(),
         body_memory: Arc::new(BodyMemory::new(
             settings.body_memory_bytes(),
--- a/crates/hawthornstand/src/gateway/directory.rs
+++ b/crates/hawthornstand/src/gateway/directory.rs
@@ -374,6 +374,13 @@
         }
     }
 
+    /// Returns whether the entry of a backend server names a process that started later.
+    pub fn has_restarted(&self, server: &Server) -> bool {
+        self.find(&server.published.id).is_some_and(|current| {
+            current.published.process_start_unix_ms > server.published.process_start_unix_ms
+        })
+    }
+
     /// Returns the number of backend servers that are listed.
     pub fn listed_count(&self) -> usize {
         let services = self.services();
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -1,5 +1,5 @@
 //! Periodic maintenance: probes unresponsive and replaced backend servers, opens connections in advance, expires
-//! vanished entries, reports what callers were refused.
+//! vanished entries, checks the backend servers of calls that were given up, reports what callers were refused.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 
 use crate::gateway::caller_load::RefusalLog;
 use crate::gateway::context::GatewayContext;
+use crate::gateway::crash_check;
 use crate::gateway::directory::{KeptConnections, Service};
 use crate::gateway::listing::Listing;
 use crate::gateway::pool::ConnectionPermit;
@@ -57,6 +58,7 @@
         update_reach(&state);
         probe_unusable(&state, &context);
         probe_for_contact(&state, &context);
+        crash_check::check_abandoned(&context, &state);
         if Instant::now() >= open_from {
             open_in_advance(&state);
         }
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`server_selection`] and sends the request to them with [`call`]. In a large fleet, [`relays`] hand searches to the
 //! VMs that hold connections to the shards.
 
+pub mod abandoned_calls;
 pub mod answer_memory;
 pub mod attempt_outcomes;
 pub mod attempts;
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -27,6 +27,7 @@
 
 /// Metrics of one process; the fields are named after them.
 pub struct Telemetry {
+    pub abandoned_calls: Counter,
     pub attempts_without_room: Counter,
     pub budget_denials: Counter,
     confirmation_age_ms: Gauge,
@@ -87,6 +88,10 @@
             counter
         };
         Self {
+            abandoned_calls: counter(
+                "abandoned_calls",
+                "Calls given up while their backend servers may run them, and checked for crashes",
+            ),
             attempts_without_room: counter(
                 "attempts_without_room",
                 "Attempts not sent because of what backend servers say of themselves",
--- a/crates/hawthornstand/tests/gateway_crash_tracker.rs
+++ b/crates/hawthornstand/tests/gateway_crash_tracker.rs
@@ -27,6 +27,40 @@
     assert_eq!(crash_tracker.remaining_refusal(CRASHING + 1, now), None);
 }
 
+/// Returns the report of a process that may have ended together with others.
+fn with_common_cause(process: u64, age: Duration) -> CrashReport {
+    let age_ms = age.as_millis() as u64;
+    CrashReport { age_ms, has_common_cause: true, ..report(&[process]) }
+}
+
+/// Guards against a request that crashes servers for ever where others happen to end as well.
+#[test]
+fn crashes_that_may_have_a_common_cause_count_one_by_one() {
+    let (crash_tracker, start) = (CrashTracker::default(), Instant::now());
+    for process in 1..4 {
+        let now = start + Duration::from_millis(2500) * process as u32;
+        assert_eq!(crash_tracker.remaining_refusal(CRASHING, now), None);
+        assert!(crash_tracker.record(&with_common_cause(process, Duration::ZERO), now));
+    }
+    let now = start + Duration::from_secs(8);
+    assert!(crash_tracker.remaining_refusal(CRASHING, now).is_some());
+}
+
+/// Guards against refusing a request because a failure domain lost its power while callers left: whichever VMs report the
+/// processes, and however late.
+#[test]
+fn processes_that_may_have_ended_together_count_once() {
+    let (crash_tracker, cut) = (CrashTracker::default(), Instant::now());
+    for process in 1..20 {
+        let late = Duration::from_millis(100) * process as u32;
+        let age = late.saturating_sub(Duration::from_millis(process * 37 % 500));
+        crash_tracker.record(&with_common_cause(process, age), cut + late);
+    }
+    assert_eq!(crash_tracker.remaining_refusal(CRASHING, cut + Duration::from_secs(2)), None);
+    let [known] = &crash_tracker.reports(cut)[..] else { panic!("one request is suspected") };
+    assert_eq!(known.processes.len(), 1);
+}
+
 #[test]
 fn answered_request_is_not_suspected() {
     let (crash_tracker, now) = (CrashTracker::default(), Instant::now());
