Limit the bytes around the data of an answer's body

Callers saw: where all servers of a service send zeros without end in the line with a chunk's size, or chunks of one byte each, each request got 504 after the whole of its time, and its connection stayed taken (another operator's report of endless bytes).

Cause: only the data of a body was limited; the HTTP library drops what is around it without a limit, and data byte by byte reaches no limit in time. Evidence: endless_answers.rs with ten places for bookings and plain reads, four for health probes: peak memory stays under 80 MB everywhere, so the report itself does not happen here; these two places failed in 4 of 4 cases with 504.

Change: head_limit.rs becomes wire_limit.rs and limits a body on the wire to twice its data and 256 KiB; a body may come in 4,096 frames and one more for each 8 bytes. The call then ends as broken, like one whose answer breaks off.

Tests: the 4 cases failed before and pass; gateway_wire_limit.rs. The other places passed before, and guard what holds.

--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -20,11 +20,17 @@
 use crate::gateway::protocol::{AnswerHead, AnswerKind, HttpProtocol};
 use crate::gateway::server::Server;
 use crate::gateway::time_budget::TimeBudget;
+use crate::gateway::wire_limit::WireAllowance;
 
 /// Time for which the slower of two attempts may go on, so that its connection can be reused: the usual length of a
 /// pause of a backend server.
 const ABANDONED_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Limit on the frames of a body that hold less data than [`MIN_FRAME_BYTES`] on average: each costs processor time, whatever it
+/// holds.
+const MAX_SMALL_FRAMES: usize = 4096;
+const MIN_FRAME_BYTES: usize = 8;
+
 /// A complete answer of a backend server.
 #[derive(Debug)]
 pub struct Answer {
@@ -97,43 +103,54 @@
     }
 }
 
-/// A call that was sent and has not ended. Dropped before its end, it is watched whether the backend server ends.
+/// A call that was sent and has not ended. Dropped before its end, it was given up: the backend server may still run it.
 struct UnansweredCall<'a> {
     context: &'a GatewayContext,
-    deadline: Instant,
     has_ended: bool,
     request: &'a OutboundRequest,
+    sent_at: Instant,
     server: &'a Arc<Server>,
+    time_left: Duration,
 }
 
 impl<'a> UnansweredCall<'a> {
+    /// Creates a call that is sent now; the backend server has to stop it after `time_left`.
     fn new(
         server: &'a Arc<Server>,
         request: &'a OutboundRequest,
-        deadline: Instant,
+        time_left: Duration,
         context: &'a GatewayContext,
     ) -> Self {
-        Self { context, deadline, has_ended: false, request, server }
+        let sent_at = Instant::now();
+        Self { context, has_ended: false, request, sent_at, server, time_left }
     }
 
     /// Ends the call.
     fn end(mut self) {
         self.has_ended = true;
     }
+
+    /// Has the backend server checked for an end, unless the request is known to crash none.
+    fn watch_server(&self, now: Instant) {
+        let GatewayContext { abandoned_calls, crash_tracker, telemetry, .. } = self.context;
+        let fingerprint = self.request.fingerprint;
+        if self.request.attempt_outcomes.is_answered()
+            || crash_tracker.was_just_answered(fingerprint, now)
+        {
+            return;
+        }
+        telemetry.abandoned_calls.inc();
+        abandoned_calls.record(self.server, fingerprint, self.sent_at + self.time_left);
+    }
 }
 
 impl Drop for UnansweredCall<'_> {
     fn drop(&mut self) {
-        let (request, now) = (self.request, Instant::now());
-        // A request that was answered crashes no backend server.
-        if self.has_ended
-            || request.attempt_outcomes.is_answered()
-            || self.context.crash_tracker.was_just_answered(request.fingerprint, now)
-        {
+        if self.has_ended {
             return;
         }
-        self.context.telemetry.abandoned_calls.inc();
-        self.context.abandoned_calls.record(self.server, request.fingerprint, self.deadline);
+        let now = Instant::now();
+        self.watch_server(now);
     }
 }
 
@@ -158,12 +175,11 @@
         return CallOutcome::NotSent(ConnectError::Failed);
     }
     let started = Instant::now();
-    let unanswered = UnansweredCall::new(server, request, started + time_budget.left(), context);
+    let call = UnansweredCall::new(server, request, time_budget.left(), context);
     let body_memory = AnswerPermit::new(Arc::clone(&context.answer_memory));
     let protocol = &*context.protocol;
-    let outcome =
-        exchange(&mut connection, server, request, time_budget, protocol, body_memory).await;
-    unanswered.end();
+    let outcome = exchange(&mut connection, &call, time_budget, protocol, body_memory).await;
+    call.end();
     let now = Instant::now();
     let (answer, reusable) = match outcome {
         Ok(exchanged) => exchanged,
@@ -207,12 +223,12 @@
 /// Sends a request on a connection; returns the answer and whether the connection can be reused.
 async fn exchange(
     connection: &mut Connection,
-    server: &Server,
-    request: &OutboundRequest,
+    call: &UnansweredCall<'_>,
     time_budget: &TimeBudget,
     protocol: &dyn HttpProtocol,
     mut body_memory: AnswerPermit,
 ) -> Result<(Answer, bool), ExchangeError> {
+    let (server, request) = (call.server, call.request);
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
@@ -222,8 +238,8 @@
         time_budget.left(),
         &server.published.id,
     );
-    connection.head_allowance.begin_head(&mut outgoing);
-    let sent_at = Instant::now();
+    connection.wire_allowance.begin_head(&mut outgoing);
+    let sent_at = call.sent_at;
     let response = connection.sender.try_send_request(outgoing).await.map_err(|error| {
         // hyper returns the request with the error if no byte of it was written.
         match error.message() {
@@ -231,7 +247,7 @@
             None => ExchangeError::Broken("the connection broke off"),
         }
     })?;
-    connection.head_allowance.end_head();
+    connection.wire_allowance.begin_body();
     let (parts, body) = response.into_parts();
     // hyper passes on 101, the only interim status that ends an exchange.
     if parts.status.is_informational() {
@@ -246,7 +262,7 @@
     if head.kind != AnswerKind::Misdirected {
         server.record_statements(&head.said, sent_at, now);
     }
-    let body = read_body(body, &mut body_memory).await?;
+    let body = read_body(body, &mut body_memory, &connection.wire_allowance).await?;
     if head.kind == AnswerKind::Succeeded && head.request_id.is_empty() {
         return Err(ExchangeError::Broken("the answer does not name its request"));
     }
@@ -257,13 +273,24 @@
 }
 
 /// Reads the whole body of an answer.
-async fn read_body(body: Incoming, memory: &mut AnswerPermit) -> Result<Bytes, ExchangeError> {
+async fn read_body(
+    body: Incoming,
+    memory: &mut AnswerPermit,
+    wire_allowance: &WireAllowance,
+) -> Result<Bytes, ExchangeError> {
     let mut body = Limited::new(body, MAX_COUNTED_BYTES);
     let mut read = BytesMut::new();
     let mut first = Bytes::new();
+    let (mut frames, mut held_bytes) = (0, 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ExchangeError::Broken("the answer broke off"))?;
         let Ok(data) = frame.into_data() else { continue };
+        wire_allowance.record_data(data.len());
+        frames += 1;
+        held_bytes += data.len();
+        if frames > MAX_SMALL_FRAMES + held_bytes / MIN_FRAME_BYTES {
+            return Err(ExchangeError::Broken("the answer comes in too small pieces"));
+        }
         if !memory.grow(data.len()) {
             return Err(ExchangeError::Broken("answers hold too much memory"));
         }
--- a/crates/hawthornstand/src/gateway/pool.rs
+++ b/crates/hawthornstand/src/gateway/pool.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::connection_queue::ConnectionQueue;
-use crate::gateway::head_limit::{HeadAllowance, HeadLimit};
+use crate::gateway::wire_limit::{WireAllowance, WireLimit};
 use crate::locks::lock;
 
 /// Time limit for opening a connection, the same that callers set.
@@ -42,7 +42,7 @@
 
 /// A connection; dropping it closes the socket.
 pub struct Connection {
-    pub head_allowance: HeadAllowance,
+    pub wire_allowance: WireAllowance,
     pub sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     idle_limit: Duration,
@@ -172,7 +172,7 @@
     /// Returns an error if the backend server does not accept the connection in time.
     pub async fn open_with(&self, permit: ConnectionPermit) -> Result<Connection, ConnectError> {
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(self.address)).await;
-        let (sender, driver, head_allowance) = match opened {
+        let (sender, driver, wire_allowance) = match opened {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) => {
                 log::debug!("cannot connect to {}: {error}", self.address);
@@ -184,7 +184,7 @@
             Err(_) => return Err(ConnectError::Failed),
         };
         Ok(Connection {
-            head_allowance,
+            wire_allowance,
             sender,
             driver,
             idle_limit: DEFAULT_IDLE_LIMIT,
@@ -218,8 +218,8 @@
     }
 }
 
-/// A connection without a permit: its sender, its driver and the limit on heads.
-type OpenedConnection = (SendRequest<Full<Bytes>>, AbortHandle, HeadAllowance);
+/// A connection without a permit: its sender, its driver and the limit on bytes.
+type OpenedConnection = (SendRequest<Full<Bytes>>, AbortHandle, WireAllowance);
 
 /// Opens a connection and starts the task that drives it.
 async fn open(
@@ -227,15 +227,15 @@
 ) -> Result<OpenedConnection, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let head_allowance = HeadAllowance::default();
+    let wire_allowance = WireAllowance::default();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(HeadLimit::new(stream, head_allowance.clone())))
+        .handshake(TokioIo::new(WireLimit::new(stream, wire_allowance.clone())))
         .await?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok((sender, driver.abort_handle(), head_allowance))
+    Ok((sender, driver.abort_handle(), wire_allowance))
 }
--- a/crates/hawthornstand/src/gateway/head_limit.rs
+++ b/crates/hawthornstand/src/gateway/wire_limit.rs
@@ -1,6 +1,7 @@
-//! Limits how many bytes a backend server may send before the head of its answer is complete.
+//! Limits how many bytes a backend server may send that are no part of a body.
 //!
-//! hyper limits the size of one head, but skips any number of interim answers (status 1xx) in front of it.
+//! hyper limits the size of one head, but skips any number of interim answers (status 1xx) in front of it, and any number of
+//! bytes around the data of chunks.
 
 use std::io;
 use std::pin::Pin;
@@ -15,20 +16,25 @@
 /// body that is read with it.
 const MAX_BYTES_BEFORE_ANSWER: usize = 128 * 1024;
 
+/// Limit on the bytes of a body on the wire beyond [`MAX_WIRE_FACTOR`] times its data: what is read before the data is
+/// taken, and a short body in chunks of a byte each.
+const MAX_BYTES_BESIDE_BODY: usize = 256 * 1024;
+const MAX_WIRE_FACTOR: usize = 2;
+
 /// Limit on the interim answers before one answer.
 const MAX_INTERIM_ANSWERS: usize = 16;
 
 /// Bytes that may be read on a connection.
 #[derive(Clone, Debug)]
-pub struct HeadAllowance(Arc<AtomicUsize>);
+pub struct WireAllowance(Arc<AtomicUsize>);
 
-impl Default for HeadAllowance {
+impl Default for WireAllowance {
     fn default() -> Self {
         Self(Arc::new(AtomicUsize::new(MAX_BYTES_BEFORE_ANSWER)))
     }
 }
 
-impl HeadAllowance {
+impl WireAllowance {
     /// Starts to limit the bytes and the interim answers before the head of the answer to a request.
     pub fn begin_head<B>(&self, request: &mut Request<B>) {
         self.0.store(MAX_BYTES_BEFORE_ANSWER, Ordering::Relaxed);
@@ -40,36 +46,40 @@
         });
     }
 
-    /// Lifts the limit because the head is complete; the body has a limit of its own.
-    pub fn end_head(&self) {
-        self.0.store(usize::MAX, Ordering::Relaxed);
+    /// Starts to limit the bytes beside the data of the body, because the head is complete.
+    pub fn begin_body(&self) {
+        self.0.store(MAX_BYTES_BESIDE_BODY, Ordering::Relaxed);
+    }
+
+    /// Records data of the body, which allows further bytes.
+    pub fn record_data(&self, bytes: usize) {
+        let left = self.0.load(Ordering::Relaxed);
+        let allowed = bytes.saturating_mul(MAX_WIRE_FACTOR);
+        self.0.store(left.saturating_add(allowed), Ordering::Relaxed);
     }
 
     /// Takes bytes that were read; returns whether they were allowed.
     fn take(&self, bytes: usize) -> bool {
         let left = self.0.load(Ordering::Relaxed);
-        if left == usize::MAX {
-            return true;
-        }
         self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
         bytes <= left
     }
 }
 
-/// A connection that fails once a head is longer than its allowance.
-pub struct HeadLimit<T> {
-    allowance: HeadAllowance,
+/// A connection that fails once more bytes arrive than its allowance.
+pub struct WireLimit<T> {
+    allowance: WireAllowance,
     inner: T,
 }
 
-impl<T> HeadLimit<T> {
+impl<T> WireLimit<T> {
     /// Wraps a connection.
-    pub fn new(inner: T, allowance: HeadAllowance) -> Self {
+    pub fn new(inner: T, allowance: WireAllowance) -> Self {
         Self { allowance, inner }
     }
 }
 
-impl<T: AsyncRead + Unpin> AsyncRead for HeadLimit<T> {
+impl<T: AsyncRead + Unpin> AsyncRead for WireLimit<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -80,11 +90,11 @@
         if self.allowance.take(buffer.filled().len() - filled) {
             return read;
         }
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "the head does not end")))
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "the answer does not end")))
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for HeadLimit<T> {
+impl<T: AsyncWrite + Unpin> AsyncWrite for WireLimit<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
