Count a body that is overdue against its backend server

Callers saw: while one of three servers sends the head of each answer at once and its body slowly and without end, 51 of 60 bookings took longer than their target latency, nearly all of them the whole of their time.

Cause: a server that responds to anything is not taken for silent, and the head of the late answer is such a response; latency and failures are recorded when an answer ends, which these never do, so the server was chosen again each time.

Change: a call that is given up after the head of its answer, when the answer is overdue, counts as broken in the failure rate of its server, so that others are preferred until the rate has faded.

--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -107,6 +107,8 @@
 struct UnansweredCall<'a> {
     context: &'a GatewayContext,
     has_ended: bool,
+    /// Whether the head of the answer has been read, but not its whole body.
+    has_head: bool,
     request: &'a OutboundRequest,
     sent_at: Instant,
     server: &'a Arc<Server>,
@@ -122,7 +124,7 @@
         context: &'a GatewayContext,
     ) -> Self {
         let sent_at = Instant::now();
-        Self { context, has_ended: false, request, sent_at, server, time_left }
+        Self { context, has_ended: false, has_head: false, request, sent_at, server, time_left }
     }
 
     /// Ends the call.
@@ -130,6 +132,13 @@
         self.has_ended = true;
     }
 
+    /// Counts a body that is overdue against the backend server: its head keeps it from being taken for silent.
+    fn record_overdue_body(&self, now: Instant) {
+        if self.has_head && now >= self.sent_at + self.server.overdue_after() {
+            self.server.record_broken_call(now);
+        }
+    }
+
     /// Has the backend server checked for an end, unless the request is known to crash none.
     fn watch_server(&self, now: Instant) {
         let GatewayContext { abandoned_calls, crash_tracker, telemetry, .. } = self.context;
@@ -150,6 +159,7 @@
             return;
         }
         let now = Instant::now();
+        self.record_overdue_body(now);
         self.watch_server(now);
     }
 }
@@ -175,10 +185,10 @@
         return CallOutcome::NotSent(ConnectError::Failed);
     }
     let started = Instant::now();
-    let call = UnansweredCall::new(server, request, time_budget.left(), context);
+    let mut call = UnansweredCall::new(server, request, time_budget.left(), context);
     let body_memory = AnswerPermit::new(Arc::clone(&context.answer_memory));
     let protocol = &*context.protocol;
-    let outcome = exchange(&mut connection, &call, time_budget, protocol, body_memory).await;
+    let outcome = exchange(&mut connection, &mut call, time_budget, protocol, body_memory).await;
     call.end();
     let now = Instant::now();
     let (answer, reusable) = match outcome {
@@ -223,7 +233,7 @@
 /// Sends a request on a connection; returns the answer and whether the connection can be reused.
 async fn exchange(
     connection: &mut Connection,
-    call: &UnansweredCall<'_>,
+    call: &mut UnansweredCall<'_>,
     time_budget: &TimeBudget,
     protocol: &dyn HttpProtocol,
     mut body_memory: AnswerPermit,
@@ -262,6 +272,7 @@
     if head.kind != AnswerKind::Misdirected {
         server.record_statements(&head.said, sent_at, now);
     }
+    call.has_head = true;
     let body = read_body(body, &mut body_memory, &connection.wire_allowance).await?;
     if head.kind == AnswerKind::Succeeded && head.request_id.is_empty() {
         return Err(ExchangeError::Broken("the answer does not name its request"));
