Call abandoned calls by one name, and change the allowance of bytes in one step

'given up' and 'abandoned' meant the same. The allowance of a connection was read and written in two steps, which a runtime with several threads could interleave; the daemon has one thread, so no run shows it.

--- a/crates/hawthornstand/src/gateway/abandoned_calls.rs
+++ b/crates/hawthornstand/src/gateway/abandoned_calls.rs
@@ -1,5 +1,4 @@
-//! Calls that were given up while their backend servers may still run them: until their time is over, it is checked
-//! whether these end.
+//! Abandoned calls: their backend servers may still run them, and are watched until they have to stop.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,18 +12,19 @@
 
 /// Time for which a call is kept after its backend server has to stop: the end of a process shows a little later.
 const DETECTION_TIME: Duration = Duration::from_secs(1);
-/// Limit on the backend servers with such calls, and on the calls of each; the calls that end first are dropped.
+/// Limit on the watched backend servers.
 const MAX_SERVERS: usize = 1024;
+/// Limit on the calls of each; those that are kept for the shortest time are dropped.
 const MAX_CALLS_PER_SERVER: usize = 128;
 
-/// Calls that were given up, by backend server.
+/// Abandoned calls by backend server.
 #[derive(Default)]
 pub struct AbandonedCalls {
     /// Sorted by the id of the backend server and the start of its process.
     servers: Mutex<Vec<WatchedServer>>,
 }
 
-/// A backend server that may run calls that were given up.
+/// A backend server that may run abandoned calls.
 struct WatchedServer {
     calls: Vec<AbandonedCall>,
     /// Whether a check has been started and not ended.
@@ -37,7 +37,7 @@
     kept_until: Instant,
 }
 
-/// What has to be done for a backend server that may run calls that were given up.
+/// What has to be done for a backend server that may run abandoned calls.
 pub enum Due {
     /// No open connection shows that it runs.
     Check(Arc<Server>),
@@ -46,7 +46,7 @@
 }
 
 impl AbandonedCalls {
-    /// Records a call that was given up; the backend server has to stop it at `deadline`.
+    /// Records an abandoned call; the backend server has to stop it at `deadline`.
     pub fn record(&self, server: &Arc<Server>, fingerprint: Fingerprint, deadline: Instant) {
         let kept_until = deadline + DETECTION_TIME;
         let mut servers = lock(&self.servers);
@@ -113,14 +113,14 @@
         }
     }
 
-    /// Returns whether a call of a request to a backend server was given up and is kept.
+    /// Returns whether an abandoned call of a request to a backend server is kept.
     pub fn is_recorded(&self, server: &Arc<Server>, fingerprint: Fingerprint) -> bool {
         let servers = lock(&self.servers);
         let Ok(index) = find(&servers, server) else { return false };
         servers[index].calls.iter().any(|call| call.fingerprint == fingerprint)
     }
 
-    /// Returns whether calls of the same request to two backend servers were given up and are kept.
+    /// Returns whether abandoned calls of the same request to two backend servers are kept.
     pub fn share_requests(&self, one: &Arc<Server>, other: &Arc<Server>) -> bool {
         let servers = lock(&self.servers);
         let (Ok(one), Ok(other)) = (find(&servers, one), find(&servers, other)) else {
--- a/crates/hawthornstand/src/gateway/call.rs
+++ b/crates/hawthornstand/src/gateway/call.rs
@@ -103,7 +103,7 @@
     }
 }
 
-/// A call that was sent and has not ended. Dropped before its end, it was given up: the backend server may still run it.
+/// A call that was sent and has not ended. Dropped before its end, it is abandoned: the backend server may still run it.
 struct UnansweredCall<'a> {
     context: &'a GatewayContext,
     has_ended: bool,
--- a/crates/hawthornstand/src/gateway/crash_check.rs
+++ b/crates/hawthornstand/src/gateway/crash_check.rs
@@ -1,5 +1,5 @@
-//! Checks whether a backend server has ended when its connection breaks during a request, or after a call to it was given
-//! up, and reports crashes.
+//! Checks whether a backend server has ended when its connection breaks during a request, or after a call to it was
+//! abandoned, and reports crashes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,7 +39,7 @@
     tokio::spawn(check(Arc::clone(server), Arc::clone(request), context.clone()));
 }
 
-/// Checks the backend servers of calls that were given up, where nothing else shows that they run.
+/// Checks the backend servers of abandoned calls where nothing else shows that they run.
 pub fn check_abandoned(context: &GatewayContext, state: &Arc<PublishedState>) {
     for due in context.abandoned_calls.take_due(&state.directory, Instant::now()) {
         match due {
@@ -56,7 +56,7 @@
     }
 }
 
-/// Checks the backend server of calls that were given up, and reports them if it has ended.
+/// Checks the backend server of abandoned calls, and reports it if it has ended.
 async fn check_server(server: Arc<Server>, state: Arc<PublishedState>, context: GatewayContext) {
     let calls = &context.abandoned_calls;
     let checked_at = Instant::now();
@@ -113,7 +113,7 @@
     }
 }
 
-/// Reports a backend server that was found ended for a call that was given up; `has_common_cause` is whether others may have
+/// Reports a backend server that was found ended for an abandoned call; `has_common_cause` is whether others may have
 /// ended with it that had not got the request.
 fn report_abandoned(
     server: &Server,
@@ -125,7 +125,7 @@
     let now = Instant::now();
     log::info!(fingerprint = fingerprint, server = server.published.id.as_str(),
         common_cause = has_common_cause;
-        "backend server was lost after a call to it was given up");
+        "backend server was lost after a call to it was abandoned");
     let report = CrashReport {
         age_ms: now.saturating_duration_since(found_at).as_millis() as u64,
         fingerprint,
--- a/crates/hawthornstand/src/gateway/maintenance.rs
+++ b/crates/hawthornstand/src/gateway/maintenance.rs
@@ -1,5 +1,5 @@
 //! Periodic maintenance: probes unresponsive and replaced backend servers, opens connections in advance, expires
-//! vanished entries, checks the backend servers of calls that were given up, reports what callers were refused.
+//! vanished entries, checks the backend servers of abandoned calls, reports what callers were refused.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -90,7 +90,7 @@
         Self {
             abandoned_calls: counter(
                 "abandoned_calls",
-                "Calls given up while their backend servers may run them, and checked for crashes",
+                "Abandoned calls whose backend servers are checked for crashes",
             ),
             attempts_without_room: counter(
                 "attempts_without_room",
--- a/crates/hawthornstand/src/gateway/wire_limit.rs
+++ b/crates/hawthornstand/src/gateway/wire_limit.rs
@@ -53,16 +53,21 @@
 
     /// Records data of the body, which allows further bytes.
     pub fn record_data(&self, bytes: usize) {
-        let left = self.0.load(Ordering::Relaxed);
         let allowed = bytes.saturating_mul(MAX_WIRE_FACTOR);
-        self.0.store(left.saturating_add(allowed), Ordering::Relaxed);
+        self.update(|left| left.saturating_add(allowed));
     }
 
     /// Takes bytes that were read; returns whether they were allowed.
     fn take(&self, bytes: usize) -> bool {
-        let left = self.0.load(Ordering::Relaxed);
-        self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
-        bytes <= left
+        bytes <= self.update(|left| left.saturating_sub(bytes))
+    }
+
+    /// Changes the number of bytes that are left; returns the one before.
+    fn update(&self, change: impl Fn(usize) -> usize) -> usize {
+        let update = |left| Some(change(left));
+        match self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update) {
+            Ok(before) | Err(before) => before,
+        }
     }
 }
 
--- a/crates/hawthornstand/tests/gateway_abandoned_calls.rs
+++ b/crates/hawthornstand/tests/gateway_abandoned_calls.rs
@@ -1,4 +1,4 @@
-//! Which backend servers are checked after calls to them were given up.
+//! Which backend servers are checked after calls to them were abandoned.
 
 #[path = "support/gateway.rs"]
 mod gateway_support;
@@ -14,16 +14,16 @@
 use hawthornstand::gateway::server::Server;
 use tokio::time::Instant;
 
-/// Fingerprint of a request whose call was given up.
+/// Fingerprint of a request whose call was abandoned.
 const ABANDONED: u64 = 7;
 /// Time for which the backend server may run the call.
 const TIME_LEFT: Duration = Duration::from_secs(2);
 
-/// A backend server with one call that was given up.
+/// A backend server with one abandoned call.
 struct Watched {
     calls: AbandonedCalls,
     directory: Directory,
-    given_up_at: Instant,
+    abandoned_at: Instant,
     server: Arc<Server>,
 }
 
@@ -32,14 +32,14 @@
         let directory = Directory::new(settings());
         directory.put(published_server("i-1"));
         let server = Arc::clone(&directory.service("portal").servers()[0]);
-        let (calls, given_up_at) = (AbandonedCalls::default(), Instant::now());
-        calls.record(&server, ABANDONED, given_up_at + TIME_LEFT);
-        Self { calls, directory, given_up_at, server }
+        let (calls, abandoned_at) = (AbandonedCalls::default(), Instant::now());
+        calls.record(&server, ABANDONED, abandoned_at + TIME_LEFT);
+        Self { calls, directory, abandoned_at, server }
     }
 
-    /// Returns what is due at a time after the call was given up.
+    /// Returns what is due at a time after the call was abandoned.
     fn due(&self, after: Duration) -> Vec<&'static str> {
-        let due = self.calls.take_due(&self.directory, self.given_up_at + after);
+        let due = self.calls.take_due(&self.directory, self.abandoned_at + after);
         let names = due.into_iter().map(|due| match due {
             Due::Check(_) => "check",
             Due::Ended(_) => "ended",
@@ -85,7 +85,7 @@
 async fn same_request_is_kept_once_for_a_server() {
     let watched = Watched::new();
     for _ in 0..3 {
-        watched.calls.record(&watched.server, ABANDONED, watched.given_up_at + TIME_LEFT);
+        watched.calls.record(&watched.server, ABANDONED, watched.abandoned_at + TIME_LEFT);
     }
     assert_eq!(watched.calls.take(&watched.server), [ABANDONED]);
 }
@@ -95,7 +95,7 @@
 async fn number_of_calls_is_limited_and_the_last_to_end_are_kept() {
     let watched = Watched::new();
     for number in 0..1000 {
-        let deadline = watched.given_up_at + TIME_LEFT + Duration::from_millis(number);
+        let deadline = watched.abandoned_at + TIME_LEFT + Duration::from_millis(number);
         watched.calls.record(&watched.server, 1000 + number, deadline);
     }
     let kept = watched.calls.take(&watched.server);
