Confirm the path of a VM by responses after a connection was refused

The check of an abandoned call took a response that came before the refused connection as a sign that the VM is not cut off, unlike the check of a running call.

--- a/crates/hawthornstand/src/gateway/crash_check.rs
+++ b/crates/hawthornstand/src/gateway/crash_check.rs
@@ -59,8 +59,9 @@
 /// Checks the backend server of abandoned calls, and reports it if it has ended.
 async fn check_server(server: Arc<Server>, state: Arc<PublishedState>, context: GatewayContext) {
     let calls = &context.abandoned_calls;
+    let is_refused = has_ended(&server).await;
     let checked_at = Instant::now();
-    if !has_ended(&server).await || !is_path_confirmed(&server, checked_at).await {
+    if !is_refused || !is_path_confirmed(&server, checked_at).await {
         calls.end_check(&server);
         return;
     }
