--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -589,6 +589,7 @@
         "refused" => refused(trouble, record, files),
         "headers" => headers(trouble, record, files),
         "limits" => limits(trouble, record, files),
+        "moved-store" => moved_store(trouble, record, files),
         "unread" => unread(trouble, record, files),
         _ => Err(format!("no case {case}")),
     }
@@ -599,7 +600,7 @@
 /// Clients do what PROTOCOL.md says: after 503 they send the booking again, as a new attempt.
 fn refused(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
     const SERVERS: usize = 8;
-    const CLIENTS: usize = 14;
+    const CLIENTS: usize = 24;
     const TROUBLE_TIME: Duration = Duration::from_millis(6500);
     let store = Store::start()?;
     let is_failing = Arc::new(AtomicBool::new(false));
@@ -670,7 +671,7 @@
                     counts.1 += refused;
                     counts.2 += usize::from(runs > 1);
                     drop(counts);
-                    thread::sleep(Duration::from_millis(100));
+                    thread::sleep(Duration::from_millis(300));
                 }
             });
         }
@@ -891,6 +892,66 @@
     Ok(if denied > 5 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// The store moves to another address, which the settings file then names; SIGHUP says that the file has changed.
+fn moved_store(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+    const REQUESTS: usize = 20;
+    let mut store = Store::start()?;
+    let mut leafs = Vec::new();
+    for service in ["portal", "archive"] {
+        let behaviour = |request: &Message, stream: &mut TcpStream, leaf: &Leaf| {
+            leaf.run(request);
+            leaf.answer(stream, request, "200 OK", b"found")?;
+            Ok(true)
+        };
+        let leaf = Leaf::start(&format!("i-{service}"), record, Box::new(behaviour))?;
+        store.put(&format!("servers/{}", leaf.id), &leaf.entry(service, "ready"));
+        leafs.push(leaf);
+    }
+    let services = ["portal", "archive"];
+    store.put("op/config", &config(1, &[route("/status/", "portal", "safe")], &services));
+    let ip = free_ip();
+    let vm = Vm::start("front-1", ip, store.address, &[ip], files)?;
+    let client = Client { record };
+    // A machine is in touch once its processes have run for `stableWindowMs`.
+    thread::sleep(Duration::from_millis(5500));
+    if client
+        .send(&vm, "GET", "/status/7", "before", "")
+        .is_none_or(|answer| answer.status() != 200)
+    {
+        return Err("no answer in calm".to_string());
+    }
+    if trouble {
+        // The new store holds all that the old one held, under the same revisions.
+        let moved = Store::start()?;
+        lock(&moved.shared.0).revision = lock(&store.shared.0).revision;
+        lock(&moved.shared.0).history = lock(&store.shared.0).history.clone();
+        let path = files.join("front-1.toml");
+        let settings = std::fs::read_to_string(&path).map_err(text)?;
+        let settings = settings.replace(&store.address.to_string(), &moved.address.to_string());
+        std::fs::write(&path, settings).map_err(text)?;
+        record.line(&format!("the store moves from {} to {}", store.address, moved.address));
+        store = moved;
+    }
+    record.line("the machine gets SIGHUP");
+    let pid = vm.process.id().to_string();
+    Command::new("kill").args(["-HUP", &pid]).status().map_err(text)?;
+    // More than the time after which the settings are read again without a signal, and `stableWindowMs`.
+    thread::sleep(Duration::from_secs(12));
+    store.put("op/config", &config(4, &[route("/status/", "archive", "safe")], &services));
+    record.line("version 4, which moves the route to the service archive, is acknowledged");
+    thread::sleep(Duration::from_secs(10));
+    let mut old = 0;
+    for number in 0..REQUESTS {
+        let id = format!("request-{number}");
+        client.send(&vm, "GET", "/status/7", &id, "");
+        old += usize::from(leafs[0].runs_of(&id) > 0);
+    }
+    record.line(&format!(
+        "{old} of {REQUESTS} requests ran at the old service, 10 s after the ack (configApplyMs is 4 s)"
+    ));
+    Ok(if old > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
 /// Returns the text of a request that may run more than once.
 fn get(id: &str, headers: &str) -> String {
     format!(
