--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -400,6 +400,18 @@
         store: SocketAddr,
         seeds: &[Ipv4Addr],
         files: &Path,
+    ) -> Result<Self> {
+        Self::start_with(name, ip, store, seeds, files, 4100)
+    }
+
+    /// The same with a number of descriptors that the process may open.
+    fn start_with(
+        name: &str,
+        ip: Ipv4Addr,
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+        files: &Path,
+        descriptors: usize,
     ) -> Result<Self> {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:7102\"")).collect();
         let settings = format!(
@@ -430,7 +442,7 @@
 cpuShare = 0.25
 cpuCores = 1
 memoryMb = 260
-fdLimit = 4100
+fdLimit = {descriptors}
 linkMbps = 1000.0
 diskMb = 0
 [faultTolerance]
@@ -587,6 +599,7 @@
 fn run(case: &str, trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
     match case {
         "refused" => refused(trouble, record, files),
+        "evicted" => evicted(trouble, record, files),
         "headers" => headers(trouble, record, files),
         "limits" => limits(trouble, record, files),
         "moved-store" => moved_store(trouble, record, files),
@@ -892,6 +905,110 @@
     Ok(if denied > 5 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// Ordinary clients take long answers over slow lines while a crowd sends bodies that stop just short of their end.
+fn evicted(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+    const ANSWER_BYTES: usize = 8 << 20;
+    const READERS: usize = 8;
+    /// Half of the descriptors are for the connections of callers.
+    const DESCRIPTORS: usize = 1024;
+    /// More than the connections that the machine keeps.
+    const CROWD: usize = 700;
+    const BODY_BYTES: usize = 20_000;
+    let store = Store::start()?;
+    let long = vec![b'x'; ANSWER_BYTES];
+    let behaviour = move |request: &Message, stream: &mut TcpStream, leaf: &Leaf| {
+        leaf.run(request);
+        let body: &[u8] = if request.path().starts_with("/list/") { &long } else { b"found" };
+        leaf.answer(stream, request, "200 OK", body)?;
+        Ok(true)
+    };
+    let leaf = Leaf::start("i-portal", record, Box::new(behaviour))?;
+    let routes = [
+        route("/book/", "portal", "unsafe"),
+        route("/list/", "portal", "safe"),
+        route("/status/", "portal", "safe"),
+    ];
+    store.put("op/config", &config(1, &routes, &["portal"]));
+    store.put("servers/i-portal", &leaf.entry("portal", "ready"));
+    let ip = free_ip();
+    let vm = Vm::start_with("front-1", ip, store.address, &[ip], files, DESCRIPTORS)?;
+    // A machine is in touch once its processes have run for `stableWindowMs`.
+    thread::sleep(Duration::from_millis(5500));
+    let caller = vm.caller;
+    let mut readers = Vec::new();
+    for number in 0..READERS {
+        let record = record.clone();
+        let has_answer = Arc::new(AtomicBool::new(false));
+        let waiting = Arc::clone(&has_answer);
+        readers.push(thread::spawn(move || -> std::io::Result<bool> {
+            let id = format!("list-{number}");
+            let mut stream = connect(caller)?;
+            // A kept connection: it has carried a request before.
+            exchange(&mut stream, get(&format!("{id}-before"), "").as_bytes())?;
+            record.line(&format!("client sends {id} on a kept connection"));
+            let request = get(&id, "").replace("/status/7", "/list/7");
+            stream.write_all(request.as_bytes())?;
+            let (mut received, mut chunk) = (0, vec![0; 64 * 1024]);
+            let mut buffer = Vec::new();
+            // The answer has come when its first byte is there.
+            stream.peek(&mut chunk[..1])?;
+            has_answer.store(true, Ordering::SeqCst);
+            // About 2 MB a second.
+            while received < ANSWER_BYTES {
+                let read = stream.read(&mut chunk)?;
+                if read == 0 {
+                    break;
+                }
+                received += read;
+                if buffer.len() < 1024 {
+                    buffer.extend_from_slice(&chunk[..read.min(1024)]);
+                }
+                thread::sleep(Duration::from_millis(30));
+            }
+            let status = String::from_utf8_lossy(&buffer[..buffer.len().min(12)]).into_owned();
+            record.line(&format!("client got {received} bytes for {id} ({status})"));
+            Ok(received >= ANSWER_BYTES)
+        }));
+        // One after the other: the process reads few long answers at the same time.
+        for _ in 0..200 {
+            if waiting.load(Ordering::SeqCst) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    thread::sleep(Duration::from_millis(500));
+    let mut crowd = Vec::new();
+    if trouble {
+        for number in 0..CROWD {
+            // The queue of new connections is short.
+            let attempts = (0..5).find_map(|_| connect(caller).ok());
+            let Some(mut stream) = attempts else { break };
+            thread::sleep(Duration::from_millis(1));
+            let head = format!(
+                "POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: crowd-{number}\r\nX-Deadline-Ms: 5000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&vec![b'y'; BODY_BYTES - 1]);
+            crowd.push(stream);
+        }
+    }
+    record.line(&format!("{} clients have sent a body but for its last byte", crowd.len()));
+    let mut cut = 0;
+    for (number, reader) in readers.into_iter().enumerate() {
+        let result = reader.join().map_err(|_| "a client failed".to_string())?;
+        let is_whole = matches!(result, Ok(true));
+        if !is_whole && leaf.runs_of(&format!("list-{number}")) > 0 {
+            cut += 1;
+        }
+    }
+    if trouble && crowd.len() < CROWD {
+        return Err(format!("only {} clients could connect", crowd.len()));
+    }
+    record.line(&format!("{cut} of {READERS} requests ran and were cut off within their answer"));
+    Ok(if cut > 3 { Verdict::Broken } else { Verdict::Held })
+}
+
 /// The store moves to another address, which the settings file then names; SIGHUP says that the file has changed.
 fn moved_store(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
     const REQUESTS: usize = 20;
