--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # case could not run; TROUBLE=0 leaves the disruption out. Writes record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/harness-3 ] || { echo "run review/build-3.sh first"; exit 2; }
-exec target/review-3/harness-3 moved-store review/15
+exec target/review-3/harness-3 limits review/15
--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::Path as FilePath;
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -143,6 +143,8 @@
 #[derive(Clone)]
 struct Store {
     address: SocketAddr,
+    /// Whether every call gets 503.
+    is_busy: Arc<AtomicBool>,
     shared: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
@@ -150,7 +152,7 @@
     fn start() -> Result<Self> {
         let listener = TcpListener::bind((free_ip(), 0)).map_err(text)?;
         let address = listener.local_addr().map_err(text)?;
-        let store = Self { address, shared: Arc::default() };
+        let store = Self { address, is_busy: Arc::default(), shared: Arc::default() };
         lock(&store.shared.0).revision = 1;
         let serving = store.clone();
         thread::spawn(move || {
@@ -189,8 +191,13 @@
                 }
                 _ => "{}".to_string(),
             };
+            let status = if self.is_busy.load(Ordering::SeqCst) {
+                "503 Service Unavailable"
+            } else {
+                "200 OK"
+            };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nStore-Era: 1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -315,10 +322,22 @@
         request: &Message,
         status: &str,
         body: &[u8],
+    ) -> std::io::Result<()> {
+        self.answer_with(stream, request, status, "", body)
+    }
+
+    /// The same with further header lines.
+    fn answer_with(
+        &self,
+        stream: &mut TcpStream,
+        request: &Message,
+        status: &str,
+        headers: &str,
+        body: &[u8],
     ) -> std::io::Result<()> {
         let id = request.header("x-request-id").unwrap_or("");
         let head = format!(
-            "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Server-Signature: mac.{}.{id}\r\nContent-Length: {}\r\n\r\n",
+            "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Server-Signature: mac.{}.{id}\r\n{headers}Content-Length: {}\r\n\r\n",
             self.id,
             body.len()
         );
@@ -328,13 +347,73 @@
 
     /// Returns the entry that this server writes to the store.
     fn entry(&self, service: &str, state: &str) -> String {
+        self.entry_at(self.address, service, state)
+    }
+
+    /// Returns the entry as a machine sees it that reaches the server at another address.
+    fn entry_at(&self, address: SocketAddr, service: &str, state: &str) -> String {
         format!(
             r#"{{"service":"{service}","address":"{}","zone":"marmara-a","configVersion":"v1","slots":4,"state":"{state}","warmupLeftMs":0,"sequence":4,"born":1765000000000}}"#,
-            self.address
+            address
         )
     }
 }
 
+/// The path from one machine to one server, which can be cut without a word.
+struct Path {
+    address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Path {
+    fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind((free_ip(), 0)).map_err(text)?;
+        let address = listener.local_addr().map_err(text)?;
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let path = Self { address, is_cut: Arc::clone(&is_cut) };
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let is_cut = Arc::clone(&is_cut);
+                thread::spawn(move || {
+                    wait_while(&is_cut);
+                    let Ok(far) = TcpStream::connect(target) else { return };
+                    let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
+                        return;
+                    };
+                    let back = Arc::clone(&is_cut);
+                    thread::spawn(move || pass_on(far_copy, near_copy, &back));
+                    pass_on(near, far, &is_cut);
+                });
+            }
+        });
+        Ok(path)
+    }
+}
+
+/// Waits until a path is whole.
+fn wait_while(is_cut: &AtomicBool) {
+    while is_cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Passes on what comes, until the end of a connection. What a cut has held up is lost, and the connection with it.
+fn pass_on(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+    let _ = (from.set_nodelay(true), to.set_nodelay(true));
+    let mut chunk = [0; 16 * 1024];
+    while let Ok(read) = from.read(&mut chunk) {
+        if is_cut.load(Ordering::SeqCst) {
+            wait_while(is_cut);
+            break;
+        }
+        if read == 0 || to.write_all(&chunk[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(std::net::Shutdown::Both);
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
+
 /// Returns a route to one service.
 fn route(prefix: &str, service: &str, kind: &str) -> String {
     format!(
@@ -399,7 +478,7 @@
         ip: Ipv4Addr,
         store: SocketAddr,
         seeds: &[Ipv4Addr],
-        files: &Path,
+        files: &FilePath,
     ) -> Result<Self> {
         Self::start_with(name, ip, store, seeds, files, 4100)
     }
@@ -410,7 +489,7 @@
         ip: Ipv4Addr,
         store: SocketAddr,
         seeds: &[Ipv4Addr],
-        files: &Path,
+        files: &FilePath,
         descriptors: usize,
     ) -> Result<Self> {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:7102\"")).collect();
@@ -590,18 +669,18 @@
     }
 }
 
-fn prepare(folder: &str, files: &Path) -> Result<Record> {
+fn prepare(folder: &str, files: &FilePath) -> Result<Record> {
     std::fs::create_dir_all(files).map_err(text)?;
-    let file = std::fs::File::create(Path::new(folder).join("record.txt")).map_err(text)?;
+    let file = std::fs::File::create(FilePath::new(folder).join("record.txt")).map_err(text)?;
     Ok(Record { file: Arc::new(Mutex::new(file)), start: Instant::now() })
 }
 
-fn run(case: &str, trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+fn run(case: &str, trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
     match case {
         "refused" => refused(trouble, record, files),
         "evicted" => evicted(trouble, record, files),
         "limits" => limits(trouble, record, files),
-        "moved-store" => moved_store(trouble, record, files),
+        "leaving" => leaving(trouble, record, files),
         "unread" => unread(trouble, record, files),
         _ => Err(format!("no case {case}")),
     }
@@ -610,7 +689,7 @@
 /// Eight servers take bookings; one of them fails part of its runs for a while, with 503 and without `X-Not-Executed`.
 ///
 /// Clients do what PROTOCOL.md says: after 503 they send the booking again, as a new attempt.
-fn refused(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+fn refused(trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
     const SERVERS: usize = 8;
     const CLIENTS: usize = 24;
     const TROUBLE_TIME: Duration = Duration::from_millis(6500);
@@ -696,7 +775,7 @@
 }
 
 /// Clients ask for long answers and take none of them, while others book.
-fn unread(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+fn unread(trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
     const MEMORY_BYTES: u64 = 260 * 1024 * 1024;
     const ANSWER_BYTES: usize = 8 << 20;
     const READERS: usize = 45;
@@ -803,7 +882,7 @@
 }
 
 /// Clients keep their connections while the operator raises the limit on request heads.
-fn limits(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+fn limits(trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
     const CLIENTS: usize = 12;
     const HEAD_BYTES: usize = 20_000;
     let store = Store::start()?;
@@ -870,7 +949,7 @@
 }
 
 /// Ordinary clients take long answers over slow lines while a crowd sends bodies that stop just short of their end.
-fn evicted(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
+fn evicted(trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
     const ANSWER_BYTES: usize = 8 << 20;
     const READERS: usize = 8;
     /// Half of the descriptors are for the connections of callers.
@@ -973,64 +1052,151 @@
     Ok(if cut > 3 { Verdict::Broken } else { Verdict::Held })
 }
 
-/// The store moves to another address, which the settings file then names; SIGHUP says that the file has changed.
-fn moved_store(trouble: bool, record: &Record, files: &Path) -> Result<Verdict> {
-    const REQUESTS: usize = 20;
-    let mut store = Store::start()?;
+/// A machine that is cut off from the servers has requests run by another one, and passes on that a server leaves.
+fn leaving(trouble: bool, record: &Record, files: &FilePath) -> Result<Verdict> {
+    const VMS: usize = 6;
+    const CLIENTS: usize = 24;
+    const DRAIN: Duration = Duration::from_millis(4000);
+    const CUT: Duration = Duration::from_millis(5500);
+    const STORE_DOWN: Duration = Duration::from_millis(4500);
+    const STATUS_REPORT: Duration = Duration::from_millis(1200);
+    let is_leaving = Arc::new(AtomicBool::new(false));
     let mut leafs = Vec::new();
-    for service in ["portal", "archive"] {
-        let behaviour = |request: &Message, stream: &mut TcpStream, leaf: &Leaf| {
-            leaf.run(request);
-            leaf.answer(stream, request, "200 OK", b"found")?;
-            Ok(true)
-        };
-        let leaf = Leaf::start(&format!("i-{service}"), record, Box::new(behaviour))?;
-        store.put(&format!("servers/{}", leaf.id), &leaf.entry(service, "ready"));
-        leafs.push(leaf);
+    for (service, replicas) in [("portal", 3), ("payroll", 4)] {
+        for number in 0..replicas {
+            let is_leaving = Arc::clone(&is_leaving);
+            let id = format!("i-{service}-{number}");
+            let may_leave = id == "i-portal-0";
+            let behaviour = move |request: &Message, stream: &mut TcpStream, leaf: &Leaf| {
+                leaf.run(request);
+                thread::sleep(Duration::from_millis(60));
+                let leaves = may_leave && is_leaving.load(Ordering::SeqCst);
+                let headers = if leaves { "Server-Leaving: 1\r\n" } else { "" };
+                leaf.answer_with(stream, request, "200 OK", headers, b"found")?;
+                Ok(true)
+            };
+            leafs.push((service, Leaf::start(&id, record, Box::new(behaviour))?));
+        }
     }
-    let services = ["portal", "archive"];
-    store.put("op/config", &config(1, &[route("/status/", "portal", "safe")], &services));
-    let ip = free_ip();
-    let vm = Vm::start("front-1", ip, store.address, &[ip], files)?;
-    let client = Client { record };
-    // A machine is in touch once its processes have run for `stableWindowMs`.
-    thread::sleep(Duration::from_millis(5500));
-    if client
-        .send(&vm, "GET", "/status/7", "before", "")
-        .is_none_or(|answer| answer.status() != 200)
-    {
-        return Err("no answer in calm".to_string());
+    // The store as the first machine sees it, and as the others do: only the addresses of the servers differ.
+    let stores = [Store::start()?, Store::start()?];
+    let mut paths = Vec::new();
+    for (service, leaf) in &leafs {
+        let path = Path::start(leaf.address)?;
+        let key = format!("servers/{}", leaf.id);
+        stores[0].put(&key, &leaf.entry_at(path.address, service, "ready"));
+        stores[1].put(&key, &leaf.entry(service, "ready"));
+        paths.push(path);
     }
-    if trouble {
-        // The new store holds all that the old one held, under the same revisions.
-        let moved = Store::start()?;
-        lock(&moved.shared.0).revision = lock(&store.shared.0).revision;
-        lock(&moved.shared.0).history = lock(&store.shared.0).history.clone();
-        let path = files.join("front-1.toml");
+    let routes = [route("/status/", "portal", "safe"), route("/pay/", "payroll", "safe")];
+    for store in &stores {
+        store.put("op/config", &config(1, &routes, &["payroll", "portal"]));
+    }
+    // Each machine reads its own store first, and learns of the others then.
+    let ips: Vec<Ipv4Addr> = (0..VMS).map(|_| free_ip()).collect();
+    let mut vms = Vec::new();
+    for (number, ip) in ips.iter().enumerate() {
+        let name = format!("front-{number}");
+        vms.push(Vm::start(&name, *ip, stores[number.min(1)].address, &[*ip], files)?);
+    }
+    for (number, ip) in ips.iter().enumerate() {
+        let path = files.join(format!("front-{number}.toml"));
         let settings = std::fs::read_to_string(&path).map_err(text)?;
-        let settings = settings.replace(&store.address.to_string(), &moved.address.to_string());
+        let seeds = ips[..3].iter().map(|seed| format!("\"{seed}:7102\"")).collect::<Vec<_>>();
+        let settings =
+            settings.replace(&format!("\"{ip}:7102\"]"), &format!("{}]", seeds.join(",")));
         std::fs::write(&path, settings).map_err(text)?;
-        record.line(&format!("the store moves from {} to {}", store.address, moved.address));
-        store = moved;
+        let pid = vms[number].process.id().to_string();
+        Command::new("kill").args(["-HUP", &pid]).status().map_err(text)?;
     }
-    record.line("the machine gets SIGHUP");
-    let pid = vm.process.id().to_string();
-    Command::new("kill").args(["-HUP", &pid]).status().map_err(text)?;
-    // More than the time after which the settings are read again without a signal, and `stableWindowMs`.
-    thread::sleep(Duration::from_secs(12));
-    store.put("op/config", &config(4, &[route("/status/", "archive", "safe")], &services));
-    record.line("version 4, which moves the route to the service archive, is acknowledged");
-    thread::sleep(Duration::from_secs(10));
-    let mut old = 0;
-    for number in 0..REQUESTS {
-        let id = format!("request-{number}");
-        client.send(&vm, "GET", "/status/7", &id, "");
-        old += usize::from(leafs[0].runs_of(&id) > 0);
+    thread::sleep(Duration::from_secs(8));
+    let passed_on: Mutex<Option<Instant>> = Mutex::new(None);
+    let sent: Mutex<Vec<(String, Instant)>> = Mutex::new(Vec::new());
+    let is_over = AtomicBool::new(false);
+    let mut left_at = Instant::now();
+    let client = Client { record };
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            let (client, vm) = (&client, &vms[0]);
+            let (passed_on, sent, is_over) = (&passed_on, &sent, &is_over);
+            scope.spawn(move || {
+                for count in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("request-{number}-{count}");
+                    let path = if number % 4 == 0 { "/pay/1" } else { "/status/7" };
+                    lock(sent).push((id.clone(), Instant::now()));
+                    let answer = client.send(vm, "GET", path, &id, "").unwrap_or_default();
+                    if answer.header("server-leaving") == Some("1") {
+                        let mut passed_on = lock(passed_on);
+                        if passed_on.is_none() {
+                            *passed_on = Some(Instant::now());
+                            record.line("the machine has passed on Server-Leaving of i-portal-0");
+                        }
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        thread::sleep(Duration::from_secs(1));
+        if trouble {
+            record.line("the first machine is cut off from the servers");
+            paths.iter().for_each(|path| path.is_cut.store(true, Ordering::SeqCst));
+        }
+        let cut_end = Instant::now() + CUT;
+        thread::sleep(CUT - STORE_DOWN);
+        if trouble {
+            record.line("the store is down");
+            stores.iter().for_each(|store| store.is_busy.store(true, Ordering::SeqCst));
+        }
+        thread::sleep(Duration::from_millis(100));
+        record.line("server i-portal-0 leaves, and says so in its answers");
+        is_leaving.store(true, Ordering::SeqCst);
+        left_at = Instant::now();
+        if !trouble {
+            report_draining(&leafs[0].1, &paths[0], &stores);
+        }
+        thread::sleep(cut_end.saturating_duration_since(Instant::now()));
+        record.line("the paths are whole, and the store is back");
+        stores.iter().for_each(|store| store.is_busy.store(false, Ordering::SeqCst));
+        paths.iter().for_each(|path| path.is_cut.store(false, Ordering::SeqCst));
+        thread::sleep(STATUS_REPORT);
+        if trouble {
+            report_draining(&leafs[0].1, &paths[0], &stores);
+        }
+        thread::sleep(Duration::from_millis(500));
+        is_over.store(true, Ordering::SeqCst);
+    });
+    let passed_on = match *lock(&passed_on) {
+        Some(passed_on) => passed_on,
+        None if trouble => {
+            return Err("no answer of the server that leaves was passed on".to_string());
+        }
+        // The store has told it first.
+        None => left_at,
+    };
+    let mut late = 0;
+    for (id, sent_at) in lock(&sent).iter() {
+        let after = sent_at.saturating_duration_since(passed_on);
+        if after > DRAIN && leafs[0].1.runs_of(id) > 0 {
+            late += 1;
+            record.line(&format!(
+                "DRAIN: {id}, sent {} ms after it, reached i-portal-0",
+                after.as_millis()
+            ));
+        }
     }
-    record.line(&format!(
-        "{old} of {REQUESTS} requests ran at the old service, 10 s after the ack (configApplyMs is 4 s)"
-    ));
-    Ok(if old > 0 { Verdict::Broken } else { Verdict::Held })
+    record.line(&format!("{late} requests reached the server that leaves later than drainMs"));
+    Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+/// Has a server that leaves report it to the store.
+fn report_draining(leaf: &Leaf, path: &Path, stores: &[Store; 2]) {
+    leaf.record.line(&format!("the store accepts that {} is draining", leaf.id));
+    let key = format!("servers/{}", leaf.id);
+    stores[0].put(&key, &leaf.entry_at(path.address, "portal", "draining"));
+    stores[1].put(&key, &leaf.entry("portal", "draining"));
 }
 
 /// Returns the text of a request that may run more than once.
