Turn failures that promise "not run" without the server's statement into 502

Cause: forward::run passed on every signed failure with its status. The adapter knows whether the server stated that it did not run the request, but nothing compared that with what the status tells the caller. A 421 with a signature even counted as not run, so that a booking could be sent to another server.

Change: one module, not_run_promise, decides for the answers of this VM's attempts and for those that other VMs pass on, which may be of an earlier build. 408, 421, 429 and 503 go out only with the server's statement; otherwise the caller gets 502 without signature, body and Retry-After. 500, 504 and others stay unchanged, with signature and body.

--- a/crates/hawthornstand/src/gateway/attempts.rs
+++ b/crates/hawthornstand/src/gateway/attempts.rs
@@ -5,6 +5,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use hyper::StatusCode;
 use tokio::time::Instant;
 
 use crate::gateway::call::{Answer, Call, CallOutcome};
@@ -13,6 +14,7 @@
 use crate::gateway::directory::Service;
 use crate::gateway::latency_estimate;
 use crate::gateway::model::{Idempotency, Route};
+use crate::gateway::not_run_promise;
 use crate::gateway::outbound_request::OutboundRequest;
 use crate::gateway::pool::{ConnectError, Reservation};
 use crate::gateway::protocol::AnswerKind;
@@ -202,10 +204,16 @@
                     self.sent_attempts -= 1;
                     self.record_error(AttemptsError::Refused);
                 }
-                AnswerKind::Failed if idempotent => {
-                    self.record_error(AttemptsError::Failed(answer))
+                AnswerKind::Failed => {
+                    self.record_unfounded_promise(&answer, server);
+                    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+                        call.server.mark_replaced(Instant::now());
+                    }
+                    if !idempotent {
+                        return Err(AttemptsError::Failed(answer));
+                    }
+                    self.record_error(AttemptsError::Failed(answer));
                 }
-                AnswerKind::Failed => return Err(AttemptsError::Failed(answer)),
             },
             CallOutcome::NotSent(error) => {
                 call.server.record_not_sent();
@@ -235,6 +243,23 @@
         Ok(None)
     }
 
+    /// Counts and logs a failure whose status promises that the request has not run, though it may have.
+    fn record_unfounded_promise(&self, answer: &Answer, server: &str) {
+        if !not_run_promise::is_unfounded(answer.status, answer.head.kind) {
+            return;
+        }
+        self.context.telemetry.unfounded_promises.inc();
+        log::info!(
+            request = id_text(&self.request.request_id).as_ref(),
+            service = self.service.name.as_str(),
+            server = server,
+            status = answer.status.as_u16(),
+            sent = self.sent_attempts,
+            waited_ms = self.time_budget.spent().as_millis() as u64;
+            "the status of a failure promises that the request has not run; it may have"
+        );
+    }
+
     /// Sets the error to report.
     ///
     /// One after which the request may have run is not replaced by one after which it certainly has not.
--- a/crates/hawthornstand/src/gateway/forward.rs
+++ b/crates/hawthornstand/src/gateway/forward.rs
@@ -9,6 +9,7 @@
 use crate::gateway::context::GatewayContext;
 use crate::gateway::directory::Service;
 use crate::gateway::model::Route;
+use crate::gateway::not_run_promise;
 use crate::gateway::outbound_request::OutboundRequest;
 use crate::gateway::time_budget::TimeBudget;
 
@@ -32,7 +33,10 @@
             Err(Failure::new(ErrorKind::Overloaded, "no backend server was reached in time"))
         }
         // A failure that the backend server signed is forwarded as its answer.
-        Err(AttemptsError::Failed(answer)) if !answer.head.signature.is_empty() => Ok(*answer),
+        Err(AttemptsError::Failed(answer)) if !answer.head.signature.is_empty() => {
+            not_run_promise::check(answer.status, answer.head.kind)?;
+            Ok(*answer)
+        }
         Err(AttemptsError::QueueTooLong { expected_wait }) => Err(Failure::new(
             ErrorKind::Overloaded,
             "too many requests wait for the backend servers",
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod listing;
 pub mod maintenance;
 pub mod model;
+pub mod not_run_promise;
 pub mod outbound_request;
 pub mod partial;
 pub mod peer_link;
--- a/crates/hawthornstand/src/gateway/relays/host.rs
+++ b/crates/hawthornstand/src/gateway/relays/host.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
@@ -24,6 +23,7 @@
 use crate::gateway::forward;
 use crate::gateway::model::{Idempotency, Route, ShardSet, Target};
 use crate::gateway::outbound_request::OutboundRequest;
+use crate::gateway::protocol::HttpProtocol;
 use crate::gateway::relays::messages::{
     ForwardedAnswer, RelayMessage, RelayedRequest, RelayedSearch, SearchId,
 };
@@ -78,6 +78,11 @@
         Self { clock, context, links: AtomicUsize::new(0), load, state }
     }
 
+    /// Returns the formats of requests and answers.
+    pub fn protocol(&self) -> &dyn HttpProtocol {
+        &*self.context.protocol
+    }
+
     /// Returns the number of VMs that send searches here.
     pub fn links(&self) -> usize {
         self.links.load(Ordering::Relaxed)
@@ -316,7 +321,7 @@
             attempt_outcomes: AttemptOutcomes::default(),
             body: self.body.clone(),
             fingerprint: self.fingerprint,
-            headers: header_map(&self.headers)?,
+            headers: offer::header_map(&self.headers)?,
             idempotency: Idempotency::Idempotent,
             is_trial: false,
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
@@ -333,7 +338,7 @@
             attempt_outcomes: AttemptOutcomes::default(),
             body: self.body.clone(),
             fingerprint: self.fingerprint,
-            headers: header_map(&self.headers)?,
+            headers: offer::header_map(&self.headers)?,
             idempotency: self.idempotency(),
             is_trial: false,
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
@@ -347,18 +352,6 @@
     }
 }
 
-/// Returns headers from their names and values; none if one is malformed.
-fn header_map(list: &[(String, Bytes)]) -> Option<HeaderMap> {
-    let mut headers = HeaderMap::with_capacity(list.len());
-    for (name, value) in list {
-        headers.append(
-            HeaderName::from_bytes(name.as_bytes()).ok()?,
-            HeaderValue::from_maybe_shared(value.clone()).ok()?,
-        );
-    }
-    Some(headers)
-}
-
 /// Returns the time budget of a request that arrived at another VM.
 fn time_budget(host: &RelayHost, spent_ms: u64, left_ms: u64) -> TimeBudget {
     let spent = Duration::from_millis(spent_ms).min(MAX_TIME_LIMIT);
--- a/crates/hawthornstand/src/gateway/relays/links.rs
+++ b/crates/hawthornstand/src/gateway/relays/links.rs
@@ -12,13 +12,14 @@
 
 use crate::error::{ErrorKind, Failure};
 use crate::gateway::directory::RelayRole;
+use crate::gateway::not_run_promise;
 use crate::gateway::peer_link;
 use crate::gateway::peers::Peers;
 use crate::gateway::relays::choice;
 use crate::gateway::relays::host::RelayHost;
 use crate::gateway::relays::link::{PendingSearch, RelayLink, SearchEvent};
 use crate::gateway::relays::messages::{RELAY_PATH, REQUESTS_HEADER};
-use crate::gateway::relays::offer::{Offer, OfferResult, OfferTarget};
+use crate::gateway::relays::offer::{Offer, OfferResult, OfferTarget, RequestAnswer};
 use crate::gateway::server::Proximity;
 use crate::gateway::telemetry::Telemetry;
 use crate::locks::lock;
@@ -391,6 +392,25 @@
         offer.request.attempt_outcomes.begin_send().then_some(pending)
     }
 
+    /// Returns the answer of another VM, or a failure in its place if it promises more than its backend server stated.
+    fn check_answer(
+        &self,
+        answer: RequestAnswer,
+        offer: &Offer<'_>,
+        vm: SocketAddr,
+    ) -> OfferResult {
+        let RequestAnswer::Forwarded(forwarded) = &answer else {
+            return OfferResult::Answered(answer);
+        };
+        match not_run_promise::check_forwarded(forwarded, self.host.protocol()) {
+            Ok(()) => OfferResult::Answered(answer),
+            Err(failure) => {
+                offer.log("the answer of another VM is not passed on", vm);
+                OfferResult::Failed(failure)
+            }
+        }
+    }
+
     /// Waits until a VM that has accepted a request answers.
     async fn wait_for_answer(&self, mut pending: PendingSearch<'_>, offer: &Offer<'_>) -> Ended {
         let deadline = offer.time_budget.deadline();
@@ -400,7 +420,7 @@
             match pending.next(until).await {
                 Some(SearchEvent::Answered(answer)) => {
                     pending.finish();
-                    return Ended::Finished(OfferResult::Answered(answer));
+                    return Ended::Finished(self.check_answer(answer, offer, link.address));
                 }
                 Some(SearchEvent::Failed(failure)) => {
                     pending.finish();
--- a/crates/hawthornstand/src/gateway/relays/offer.rs
+++ b/crates/hawthornstand/src/gateway/relays/offer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::error::Failure;
 use crate::gateway::attempt_outcomes::AttemptOutcomes;
@@ -165,3 +165,15 @@
     }
     list
 }
+
+/// Returns headers from their names and values; none if one is malformed.
+pub fn header_map(list: &[(String, Bytes)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(list.len());
+    for (name, value) in list {
+        headers.append(
+            HeaderName::from_bytes(name.as_bytes()).ok()?,
+            HeaderValue::from_maybe_shared(value.clone()).ok()?,
+        );
+    }
+    Some(headers)
+}
--- a/crates/hawthornstand/src/gateway/telemetry.rs
+++ b/crates/hawthornstand/src/gateway/telemetry.rs
@@ -55,6 +55,7 @@
     pub retries: Counter,
     pub silences: Counter,
     pub store_reads: Counter,
+    pub unfounded_promises: Counter,
     pub waits: Counter,
     registry: Registry,
 }
@@ -161,6 +162,10 @@
             retries: counter("retries", "Attempts sent after one that failed"),
             silences: counter("silences", "Times a backend server owed an answer for too long"),
             store_reads: counter("store_reads", "Reads of the store"),
+            unfounded_promises: counter(
+                "unfounded_promises",
+                "Failures of backend servers whose status promises that the request has not run, though it may have",
+            ),
             waits: counter("waits", "Attempts that waited for a connection"),
             registry,
         }
