Apply changed limits to open connections

Cause: the limits were read once, when a connection was accepted, and given to hyper and to two timeouts. hyper cannot change them on an open connection.

Change: hyper has no limits any more. HeadLimits has the idle time and the time and size of heads, and reads the limits in force whenever it is polled, as WriteTimeout does; a change wakes every open connection. A wait that is under way ends after the new time, but not before the new time from the change on; a head that is under way may have the larger size; no connection is closed for the change. Heads that need several reads are held until they are complete, since hyper would grow its buffer by 8 KiB with each read.

--- a/crates/hawthornstand/src/gateway/config_in_force.rs
+++ b/crates/hawthornstand/src/gateway/config_in_force.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
+use tokio::sync::watch;
+
 use crate::gateway::config_order::{self, Decision, Origin};
 use crate::gateway::directory::Directory;
 use crate::gateway::items::Change;
@@ -34,6 +36,7 @@
 /// Holds the active configuration, which changes in [`ConfigInForce::offer`] only.
 pub struct ConfigInForce {
     active: RwLock<Option<Arc<ActiveConfig>>>,
+    caller_limits: watch::Sender<CallerLimits>,
     /// Held from a decision until it is carried out.
     deciding: Mutex<()>,
     /// Start of the rotation among the services of a route, drawn from 0 to 1 so that VMs do not rotate in step.
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             active: RwLock::default(),
+            caller_limits: watch::Sender::default(),
             deciding: Mutex::default(),
             rotation_offset: rand::random(),
         }
@@ -77,6 +81,11 @@
         self.active.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Subscribes to the limits on callers: those of the active configuration, or the defaults before the first one.
+    pub fn subscribe_to_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.caller_limits.subscribe()
+    }
+
     /// Activates a configuration if it may follow the active one; `confirmed_ms_ago` is logged.
     pub fn offer(
         &self,
@@ -107,6 +116,11 @@
             from = from, revision = change.revision, confirmed_ms_ago = confirmed_ms_ago;
             "configuration activated");
         let (limits, version) = (routing.limits, routing.version);
+        self.caller_limits.send_if_modified(|known| {
+            let is_changed = *known != limits;
+            *known = limits;
+            is_changed
+        });
         let active = ActiveConfig { limits, published: change, table, version };
         *self.active.write().unwrap_or_else(PoisonError::into_inner) = Some(Arc::new(active));
     }
--- a/crates/hawthornstand/src/gateway/daemon.rs
+++ b/crates/hawthornstand/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::gateway::caller_limits;
 use crate::gateway::context::GatewayContext;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::maintenance;
@@ -27,7 +28,8 @@
 use crate::process::body_memory::BodyMemory;
 use crate::process::clock::SystemClock;
 use crate::process::connection_table::ConnectionTable;
-use crate::process::http_server::{self, HttpLimits};
+use crate::process::http_limits::HttpLimits;
+use crate::process::http_server;
 use crate::process::log_limit::LogLosses;
 use crate::process::open_files;
 use crate::process::shutdown::ShutdownOutcome;
@@ -121,17 +123,17 @@
         clock: Arc::new(SystemClock),
         context,
         load: Arc::clone(&load),
-        max_connections: settings.max_caller_connections(open_files::limit()),
         relays,
-        state,
+        state: Arc::clone(&state),
     });
+    let max_connections = settings.max_caller_connections(open_files::limit());
     if let Some(address) = settings.metrics_address {
         serve_metrics(address, Arc::clone(&request_handler), running.clone()).await;
     }
     tokio::spawn(http_server::serve(
         readiness_listener,
         running,
-        HttpLimits::default,
+        HttpLimits::default().fixed(),
         Arc::default(),
         {
             let request_handler = Arc::clone(&request_handler);
@@ -141,10 +143,7 @@
     let serving = tokio::spawn(http_server::serve(
         caller_listener,
         stopped,
-        {
-            let request_handler = Arc::clone(&request_handler);
-            move || request_handler.limits()
-        },
+        caller_limits::follow(state.subscribe_to_limits(), max_connections),
         caller_connections,
         {
             let request_handler = Arc::clone(&request_handler);
@@ -192,7 +191,7 @@
     tokio::spawn(http_server::serve(
         listener,
         running,
-        HttpLimits::default,
+        HttpLimits::default().fixed(),
         Arc::default(),
         handle,
     ));
--- a/crates/hawthornstand/src/gateway/mod.rs
+++ b/crates/hawthornstand/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod attempt_outcomes;
 pub mod attempts;
 pub mod call;
+pub mod caller_limits;
 pub mod caller_load;
 pub mod config_in_force;
 pub mod config_order;
--- a/crates/hawthornstand/src/gateway/model.rs
+++ b/crates/hawthornstand/src/gateway/model.rs
@@ -64,6 +64,7 @@
     }
 
     /// Limits on the size and the duration of callers' requests.
+    #[derive(Copy, Eq)]
     pub struct CallerLimits {
         pub max_header_bytes: usize,
         pub max_body_bytes: usize,
--- a/crates/hawthornstand/src/gateway/request_handler.rs
+++ b/crates/hawthornstand/src/gateway/request_handler.rs
@@ -35,7 +35,6 @@
 use crate::process::clock::Clock;
 use crate::process::connection_activity::ConnectionActivity;
 use crate::process::http_body;
-use crate::process::http_server::HttpLimits;
 
 /// Time after which a search whose relays were lost may be sent again: others are used at once.
 const RELAY_LOST_RETRY_AFTER: Duration = Duration::from_millis(10);
@@ -46,18 +45,12 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Path of the status on the listener for metrics.
 const STATUS_PATH: &str = "/status";
-/// Limits that apply until a configuration is active.
-const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
 /// Answers callers, readiness checks and requests for metrics.
 pub struct RequestHandler {
     pub clock: Arc<dyn Clock>,
     pub context: GatewayContext,
     pub load: Arc<RequestLoad>,
-    /// Limit on the open connections of callers.
-    pub max_connections: usize,
     /// None if this VM has no links to others.
     pub relays: Option<Arc<RelayLinks>>,
     pub state: Arc<PublishedState>,
@@ -69,23 +62,6 @@
         !self.load.is_stopping() && self.state.is_initialized()
     }
 
-    /// Returns the limits for a new connection.
-    pub fn limits(&self) -> HttpLimits {
-        let limits = HttpLimits {
-            accepts_http2: false,
-            header_timeout: DEFAULT_HEADER_TIMEOUT,
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            max_connections: self.max_connections,
-            max_header_bytes: DEFAULT_MAX_HEADER_BYTES,
-        };
-        self.state.active_config().map_or(limits, |active_config| HttpLimits {
-            header_timeout: active_config.limits.header_timeout,
-            idle_timeout: active_config.limits.idle_timeout,
-            max_header_bytes: active_config.limits.max_header_bytes,
-            ..limits
-        })
-    }
-
     /// Answers one request and counts its outcome.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let _running = self.load.begin();
--- a/crates/hawthornstand/src/gateway/state.rs
+++ b/crates/hawthornstand/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::gateway::config_order::Origin;
 use crate::gateway::directory::Directory;
 use crate::gateway::items::{AppliedChange, Change, Update, VersionedItems};
+use crate::gateway::model::CallerLimits;
 use crate::gateway::protocol::{PublishedKey, PublishedStore, PublishedValue};
 use crate::gateway::readers;
 use crate::gateway::settings::GatewaySettings;
@@ -75,6 +76,11 @@
         self.config.active()
     }
 
+    /// Subscribes to the limits on callers.
+    pub fn subscribe_to_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.config.subscribe_to_limits()
+    }
+
     /// Returns the version of the active configuration; 0 before the first one is read.
     pub fn config_version(&self) -> u64 {
         self.active_config().map_or(0, |active| active.version)
--- a/crates/hawthornstand/src/gateway/status.rs
+++ b/crates/hawthornstand/src/gateway/status.rs
@@ -32,6 +32,9 @@
     /// What callers hold at this VM.
     #[serde(default)]
     pub callers: CallerLoad,
+    /// What a caller may send at most, and how long it may take.
+    #[serde(default)]
+    pub caller_limits: LimitsStatus,
     /// Revision of the store up to which the state of this VM is complete.
     pub as_of: Revision,
     /// Era of the store to which the revision belongs.
@@ -44,6 +47,15 @@
     pub services: Vec<ServiceStatus>,
 }
 
+/// The limits on callers that are in force.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct LimitsStatus {
+    pub max_header_bytes: usize,
+    pub max_body_bytes: usize,
+    pub header_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+}
+
 /// A service with its backend servers.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ServiceStatus {
@@ -127,6 +139,7 @@
         services.push(ServiceStatus { name, reach, requests_in_window, extra_in_window, servers });
     }
     let (role, as_of) = (state.directory.relay_role(), state.as_of());
+    let limits = *state.subscribe_to_limits().borrow();
     GatewayStatus {
         config_version: state.active_config().map(|config| config.version),
         is_config_retained: state.retained_config().is_some(),
@@ -135,6 +148,12 @@
         relays: role.relays,
         linked_relays,
         callers,
+        caller_limits: LimitsStatus {
+            max_header_bytes: limits.max_header_bytes,
+            max_body_bytes: limits.max_body_bytes,
+            header_timeout_ms: limits.header_timeout.as_millis() as u64,
+            idle_timeout_ms: limits.idle_timeout.as_millis() as u64,
+        },
         as_of: as_of.revision,
         era: as_of.era,
         confirmed_ms_ago: state.confirmation_age_in_era().map(|age| age.as_millis() as u64),
--- a/crates/hawthornstand/src/process/daemon.rs
+++ b/crates/hawthornstand/src/process/daemon.rs
@@ -19,8 +19,8 @@
 use crate::policy::ejection;
 use crate::process::admin_http;
 use crate::process::context::Context;
+use crate::process::http_limits::HttpLimits;
 use crate::process::http_server;
-use crate::process::http_server::HttpLimits;
 use crate::process::open_files;
 use crate::process::shutdown::ShutdownOutcome;
 use crate::process::startup;
@@ -50,7 +50,7 @@
     tokio::spawn(http_server::serve(
         admin,
         stopped.clone(),
-        HttpLimits::default,
+        HttpLimits::default().fixed(),
         Arc::default(),
         {
             let context = Arc::clone(&context);
@@ -62,10 +62,9 @@
     tokio::spawn(startup::run(Arc::clone(&context)));
     let max_connections = context.settings.admission.max_connections as usize;
     let max_connections = max_connections.min(open_files::limit() / 2);
-    let caller_limits =
-        move || HttpLimits { accepts_http2: true, max_connections, ..HttpLimits::default() };
+    let limits = HttpLimits { accepts_http2: true, max_connections, ..HttpLimits::default() };
     let serving =
-        tokio::spawn(http_server::serve(callers, stopped, caller_limits, Arc::default(), {
+        tokio::spawn(http_server::serve(callers, stopped, limits.fixed(), Arc::default(), {
             let context = Arc::clone(&context);
             move |request| caller_http::handle(Arc::clone(&context), request)
         }));
--- a/crates/hawthornstand/src/process/http_server.rs
+++ b/crates/hawthornstand/src/process/http_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
@@ -21,52 +22,23 @@
 
 use crate::process::connection_activity::ConnectionActivity;
 use crate::process::connection_table::ConnectionTable;
-use crate::process::head_timeout::HeadTimeout;
+use crate::process::head_limits::HeadLimits;
+use crate::process::http_limits::HttpLimits;
 use crate::process::lingering_close::LingeringClose;
 use crate::process::receive_buffer;
 use crate::process::timer::sleep_until_or_forever;
 use crate::process::write_timeout::WriteTimeout;
 
-/// Smallest buffer size that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8192;
-
 /// Time after the stop signal in which connections and requests that arrived before it are still accepted.
 const ACCEPT_GRACE: Duration = Duration::from_millis(50);
 
-/// Limits on what a client may send and how long it may take.
-#[derive(Clone, Copy, Debug)]
-pub struct HttpLimits {
-    /// Whether a client may use HTTP/2 besides HTTP/1.1.
-    pub accepts_http2: bool,
-    /// Time allowed for the head of a request after its first byte.
-    pub header_timeout: Duration,
-    /// Time after which a connection without a running request is closed.
-    pub idle_timeout: Duration,
-    /// Number of open connections beyond which others are closed.
-    pub max_connections: usize,
-    /// Largest request head accepted, in bytes.
-    pub max_header_bytes: usize,
-}
-
-impl Default for HttpLimits {
-    fn default() -> Self {
-        Self {
-            accepts_http2: false,
-            header_timeout: Duration::from_secs(10),
-            idle_timeout: Duration::from_secs(10),
-            max_connections: 1024,
-            max_header_bytes: 64 * 1024,
-        }
-    }
-}
-
 /// Serves until `stop` is true, then lets running requests finish; returns when the last connection has closed.
 ///
-/// `limits` is called for each new connection, so that changed limits apply to later connections.
+/// Changed `limits` apply to open connections as well, except for the HTTP versions that these may use.
 pub async fn serve<H, F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
-    limits: impl Fn() -> HttpLimits + Send,
+    limits: watch::Receiver<HttpLimits>,
     connections: Arc<ConnectionTable>,
     handle: H,
 ) where
@@ -97,14 +69,14 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY: {e}");
         }
-        let limits = limits();
-        connections.make_room(limits.max_connections).await;
+        let HttpLimits { accepts_http2, max_connections, .. } = *limits.borrow();
+        connections.make_room(max_connections).await;
         let handle = handle.clone();
         let activity = ConnectionActivity::default();
         let (guard, closing) = connections.open(activity.clone());
         let stream = LingeringClose::new(stream, activity.clone(), stop.clone());
-        let stream = WriteTimeout::new(stream, limits.idle_timeout);
-        let stream = HeadTimeout::new(stream, activity.clone(), limits.header_timeout);
+        let stream = WriteTimeout::new(stream, limits.clone());
+        let stream = HeadLimits::new(stream, activity.clone(), limits.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             let has_body = !request.body().is_end_stream();
             activity.record_head(request.version(), has_body);
@@ -122,20 +94,27 @@
             }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            // hyper starts this timer when the connection becomes idle.
-            .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-            .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-        if !limits.accepts_http2 {
+        // `HeadLimits` has the limits in force, which hyper cannot change on an open connection.
+        builder.http1().header_read_timeout(None).max_buf_size(usize::MAX);
+        if !accepts_http2 {
             builder = builder.http1_only();
         }
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let connection = graceful.watch(connection);
+        let connection = Abortable::new(graceful.watch(connection), closing);
+        let mut limits = limits.clone();
+        limits.mark_unchanged();
         tokio::spawn(async move {
             let _guard = guard;
-            match Abortable::new(connection, closing).await {
+            let mut connection = pin!(connection);
+            let ended = loop {
+                tokio::select! {
+                    biased;
+                    ended = &mut connection => break ended,
+                    // The connection is polled again, and what it waits for is subject to the changed limits.
+                    Ok(()) = limits.changed() => {}
+                }
+            };
+            match ended {
                 Ok(Ok(())) => {}
                 Ok(Err(e)) => log::debug!("connection closed with an error: {e}"),
                 Err(Aborted) => log::debug!("connection closed to make room for another"),
--- a/crates/hawthornstand/src/process/mod.rs
+++ b/crates/hawthornstand/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Process infrastructure: startup and shutdown, HTTP serving, clocks, timers, logs, metrics and operator tools.
 
+pub mod adjustable_timeout;
 #[cfg(feature = "own-interface")]
 pub mod admin_http;
 pub mod body_memory;
@@ -14,14 +15,16 @@
 pub mod daemon;
 #[cfg(feature = "own-interface")]
 pub mod gateway_text;
-pub mod head_timeout;
+pub mod head_limits;
 pub mod http_body;
+pub mod http_limits;
 pub mod http_server;
 pub mod lingering_close;
 pub mod log_format;
 pub mod log_limit;
 pub mod metrics;
 pub mod open_files;
+pub mod partial_head;
 pub mod receive_buffer;
 pub mod request_timeline;
 pub mod shutdown;
--- a/crates/hawthornstand/src/process/write_timeout.rs
+++ b/crates/hawthornstand/src/process/write_timeout.rs
@@ -3,23 +3,25 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::Sleep;
+use tokio::sync::watch;
+
+use crate::process::adjustable_timeout::AdjustableTimeout;
+use crate::process::http_limits::HttpLimits;
 
 /// A connection that limits how long a write may wait.
 pub struct WriteTimeout<T> {
     inner: T,
-    /// End of the wait of a write.
-    stalled: Option<Pin<Box<Sleep>>>,
-    timeout: Duration,
+    limits: watch::Receiver<HttpLimits>,
+    /// Started when a write had to wait.
+    stalled: Option<AdjustableTimeout>,
 }
 
 impl<T> WriteTimeout<T> {
     /// Wraps a connection.
-    pub fn new(inner: T, timeout: Duration) -> Self {
-        Self { inner, stalled: None, timeout }
+    pub fn new(inner: T, limits: watch::Receiver<HttpLimits>) -> Self {
+        Self { inner, limits, stalled: None }
     }
 
     /// Fails a write that has waited for too long.
@@ -32,9 +34,9 @@
             self.stalled = None;
             return written;
         }
-        let timeout = self.timeout;
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
-        match stalled.as_mut().poll(context) {
+        let timeout = self.limits.borrow().idle_timeout;
+        let stalled = self.stalled.get_or_insert_with(|| AdjustableTimeout::start(timeout));
+        match stalled.poll(timeout, context) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
         }
--- a/crates/hawthornstand/tests/connection_limit.rs
+++ b/crates/hawthornstand/tests/connection_limit.rs
@@ -9,7 +9,8 @@
 use hawthornstand::process::connection_activity::ConnectionActivity;
 use hawthornstand::process::connection_table::ConnectionTable;
 use hawthornstand::process::http_body;
-use hawthornstand::process::http_server::{self, HttpLimits};
+use hawthornstand::process::http_limits::HttpLimits;
+use hawthornstand::process::http_server;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, Version};
@@ -110,10 +111,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     let (stop, stopped) = watch::channel(false);
-    let limits = || HttpLimits { max_connections: MAX_CONNECTIONS, ..HttpLimits::default() };
+    let limits = HttpLimits { max_connections: MAX_CONNECTIONS, ..HttpLimits::default() };
     let memory = Arc::new(BodyMemory::new(usize::MAX, Counter::default()));
     let handle = move |request| answer_length(Arc::clone(&memory), request);
-    tokio::spawn(http_server::serve(listener, stopped, limits, Arc::default(), handle));
+    tokio::spawn(http_server::serve(listener, stopped, limits.fixed(), Arc::default(), handle));
     (address, stop)
 }
 
--- a/crates/hawthornstand/tests/contract_caller.rs
+++ b/crates/hawthornstand/tests/contract_caller.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use hawthornstand::callers::caller_http;
+use hawthornstand::process::http_limits::HttpLimits;
 use hawthornstand::process::http_server;
-use hawthornstand::process::http_server::HttpLimits;
 use hawthornstand_standins::http;
 use rstest::rstest;
 use support::{answer, context};
@@ -24,10 +24,16 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address").to_string();
     let (_stop, stopped) = watch::channel(false);
-    tokio::spawn(http_server::serve(listener, stopped, HttpLimits::default, Arc::default(), {
-        let context = Arc::clone(&context);
-        move |request| caller_http::handle(Arc::clone(&context), request)
-    }));
+    tokio::spawn(http_server::serve(
+        listener,
+        stopped,
+        HttpLimits::default().fixed(),
+        Arc::default(),
+        {
+            let context = Arc::clone(&context);
+            move |request| caller_http::handle(Arc::clone(&context), request)
+        },
+    ));
     let headers: Vec<(&str, String)> =
         headers.iter().map(|(name, value)| (*name, value.to_string())).collect();
     let reply = http::send(&address, method, path, &headers, body).await.expect("an answer");
--- a/crates/hawthornstand/tests/gateway_text.rs
+++ b/crates/hawthornstand/tests/gateway_text.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornstand::gateway::caller_load::CallerLoad;
-use hawthornstand::gateway::status::{GatewayStatus, ServerStatus, ServiceStatus};
+use hawthornstand::gateway::status::{GatewayStatus, LimitsStatus, ServerStatus, ServiceStatus};
 use hawthornstand::process::cli::{self, OutputFormat};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -36,6 +36,7 @@
         relays: 4,
         linked_relays: vec![([10, 0, 0, 2], 8224).into(), ([10, 0, 0, 3], 8224).into()],
         callers: CallerLoad { body_bytes: 262_144, connections: 57 },
+        caller_limits: LimitsStatus::default(),
         as_of: 4711,
         era: 1,
         confirmed_ms_ago: Some(820),
--- a/crates/hawthornstand/tests/graceful_shutdown.rs
+++ b/crates/hawthornstand/tests/graceful_shutdown.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornstand::process::http_server::{self, HttpLimits};
+use hawthornstand::process::http_limits::HttpLimits;
+use hawthornstand::process::http_server;
 use http_body_util::Full;
 use hyper::Response;
 use rstest::rstest;
@@ -49,7 +50,7 @@
     let serving = tokio::spawn(http_server::serve(
         listener,
         stopped,
-        HttpLimits::default,
+        HttpLimits::default().fixed(),
         Arc::default(),
         |_| async { Response::new(Full::new(Bytes::from_static(b"answered"))) },
     ));
