Pass on HTTP/2 frames at once

On a listener that offers HTTP/2, the product's own interface, the frames before the first request were held like a head, and the request waited until its time was over. Now nothing is held there.

--- a/crates/hawthornstand/src/process/head_limits.rs
+++ b/crates/hawthornstand/src/process/head_limits.rs
@@ -16,10 +16,10 @@
 
 /// Largest read. hyper doubles its buffer after each read that fills it, whatever the limit on heads.
 const MAX_READ_BYTES: usize = 16 * 1024 - 1;
-/// Largest first read of a head.
-const FIRST_READ_BYTES: usize = 8 * 1024 - 1;
-/// Largest read of the rest of a head.
-const REST_READ_BYTES: usize = 4096;
+/// Largest read of bytes of a head that are passed on at once.
+const HEAD_READ_BYTES: usize = 8 * 1024 - 1;
+/// Largest read of bytes of a head that are held.
+const HELD_READ_BYTES: usize = 4096;
 /// Response to a head that is too large.
 const TOO_LARGE_RESPONSE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
@@ -91,15 +91,17 @@
         Some(head)
     }
 
-    /// Records that the first bytes of a head were read.
-    fn record_first_bytes(&mut self, received_bytes: usize, limits: &HttpLimits) {
+    /// Records that bytes of a head were read.
+    fn record_received(&mut self, received_bytes: usize, limits: &HttpLimits) {
         let Some(head) = self.next_head.as_mut().filter(|_| received_bytes > 0) else { return };
         if std::mem::take(&mut head.may_read_body) {
             return;
         }
-        head.received_bytes = received_bytes;
-        self.activity.record_partial_head();
-        self.timeout.restart(limits.header_timeout);
+        if head.received_bytes == 0 {
+            self.activity.record_partial_head();
+            self.timeout.restart(limits.header_timeout);
+        }
+        head.received_bytes += received_bytes;
     }
 }
 
@@ -151,17 +153,20 @@
 }
 
 impl<T: AsyncRead + AsyncWrite + Unpin> HeadLimits<T> {
-    /// Reads the first bytes of a head, which are passed on at once: usually they are the whole head.
-    fn poll_first_bytes(
+    /// Reads bytes of a head that are passed on at once.
+    fn poll_head(
         &mut self,
+        left_bytes: usize,
         limits: &HttpLimits,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if left_bytes == 0 {
+            return self.poll_reject(context).map(Err);
+        }
         let filled_bytes = buffer.filled().len();
-        let max_bytes = limits.max_header_bytes.clamp(1, FIRST_READ_BYTES);
-        ready!(self.poll_read_at_most(max_bytes, context, buffer))?;
-        self.record_first_bytes(buffer.filled().len() - filled_bytes, limits);
+        ready!(self.poll_read_at_most(left_bytes.min(HEAD_READ_BYTES), context, buffer))?;
+        self.record_received(buffer.filled().len() - filled_bytes, limits);
         Poll::Ready(Ok(()))
     }
 
@@ -176,8 +181,8 @@
             if left_bytes == 0 {
                 return self.poll_reject(context).map(Err);
             }
-            let mut bytes = [0; REST_READ_BYTES];
-            let mut part = ReadBuf::new(&mut bytes[..left_bytes.min(REST_READ_BYTES)]);
+            let mut bytes = [0; HELD_READ_BYTES];
+            let mut part = ReadBuf::new(&mut bytes[..left_bytes.min(HELD_READ_BYTES)]);
             ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
             if part.filled().is_empty() {
                 break;
@@ -211,10 +216,13 @@
         let Some(head) = this.update_next_head(&limits) else {
             return this.poll_read_at_most(MAX_READ_BYTES, context, buffer);
         };
-        let read = if head.received_bytes == 0 {
-            this.poll_first_bytes(&limits, context, buffer)
-        } else {
+        let left_bytes = head.max_bytes.saturating_sub(head.received_bytes);
+        // The first read is usually the whole head. HTTP/2 frames do not end like a head.
+        let is_held = head.received_bytes > 0 && !limits.accepts_http2;
+        let read = if is_held {
             this.poll_rest(context, buffer)
+        } else {
+            this.poll_head(left_bytes, &limits, context, buffer)
         };
         if this.rejection.is_some() {
             return read;
--- a/crates/hawthornstand/tests/http_server_limits.rs
+++ b/crates/hawthornstand/tests/http_server_limits.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -146,3 +147,20 @@
         assert_eq!(server.receive().await, status, "{head_bytes} bytes under {limit}");
     }
 }
+
+// Guards against: the frames that an HTTP/2 client sends before its first request are held like the head of a request.
+#[tokio::test]
+async fn http_2_request_is_served_after_a_pause() {
+    let server = Server::start().await;
+    server.limits.send_modify(|limits| limits.accepts_http2 = true);
+    let address = server.stream.peer_addr().expect("an address");
+    let stream = TcpStream::connect(address).await.expect("failed to connect");
+    let handshake =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.expect("a handshake");
+    tokio::spawn(connection);
+    sleep(Duration::from_millis(50)).await;
+    let request = Request::get("http://vm/").body(Full::<Bytes>::default()).expect("a request");
+    let response = timeout(ANSWER_TIMEOUT / 2, sender.send_request(request)).await;
+    assert_eq!(response.expect("no response in time").expect("a response").status(), 200);
+}
