Take no connection for idle while its client takes an answer

The idle time began when hyper had the whole answer in its buffers, so that a client that takes a long answer steadily was closed in its middle after that time. With limits that apply to open connections, lowering the idle time cuts such answers at once. The time now begins when the answer is sent; a client that takes nothing is closed by WriteTimeout, as before.

--- a/crates/hawthornstand/src/process/head_limits.rs
+++ b/crates/hawthornstand/src/process/head_limits.rs
@@ -228,6 +228,10 @@
             return read;
         }
         let is_idle = this.next_head.as_ref().is_some_and(|head| head.received_bytes == 0);
+        if is_idle && this.has_unsent_bytes {
+            // The client still takes the last answer.
+            this.timeout.restart(limits.idle_timeout);
+        }
         let limit = if is_idle { limits.idle_timeout } else { limits.header_timeout };
         if this.timeout.poll(limit, context).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
--- a/crates/hawthornstand/tests/head_limits.rs
+++ b/crates/hawthornstand/tests/head_limits.rs
@@ -179,6 +179,38 @@
     [&vec![b'x'; bytes - 4][..], b"\r\n\r\n"].concat()
 }
 
+// Guards against: a connection is closed as idle while its client takes a long answer.
+#[rstest]
+#[case::unchanged(TIMEOUT)]
+#[case::lowered(TIMEOUT * 20)]
+#[tokio::test(start_paused = true)]
+async fn connection_is_not_idle_while_its_answer_is_taken(#[case] first: Duration) {
+    let (near, mut far) = duplex(1000);
+    let limits = |idle_timeout| HttpLimits { idle_timeout, ..HttpLimits::default() };
+    let sender = watch::Sender::new(limits(first));
+    let near = HeadLimits::new(near, ConnectionActivity::default(), sender.subscribe());
+    let (mut reader, mut writer) = tokio::io::split(near);
+    let reading = tokio::spawn(async move {
+        let closed = reader.read_u8().await.expect_err("nothing is sent").kind();
+        (closed, Instant::now())
+    });
+    let writing = tokio::spawn(async move {
+        writer.write_all(&[b'a'; 5000]).await.expect("an answer");
+        writer.flush().await.expect("an answer");
+        writer
+    });
+    sender.send_replace(limits(TIMEOUT));
+    for _ in 0..10 {
+        sleep(TIMEOUT / 2).await;
+        far.read_exact(&mut [0; 500]).await.expect("an answer");
+    }
+    let taken = Instant::now();
+    let _writer = writing.await.expect("a whole answer");
+    let (closed, at) = reading.await.expect("an error");
+    assert_eq!(closed, ErrorKind::TimedOut);
+    assert!(at + TIMEOUT / 2 >= taken, "closed {:?} before the end", taken - at);
+}
+
 /// Returns the limits with one on the size of heads.
 fn size_limit(max_header_bytes: usize) -> HttpLimits {
     HttpLimits { max_header_bytes, ..HttpLimits::default() }
