--- a/crates/hawthornstand/src/process/partial_head.rs
+++ b/crates/hawthornstand/src/process/partial_head.rs
@@ -30,7 +30,6 @@
             self.is_complete |= *byte == b'\n' && is_line_empty;
             self.last_bytes = [self.last_bytes[1], *byte];
         }
-        self.held.reserve_exact(bytes.len());
         self.held.extend_from_slice(bytes);
     }
 
